Lay out modules, shared types and checks

Cause: nothing stood yet; several people are to work on disjoint packages. Change: five modules (config, platform, standins, core, cli), the configuration records, the platform interfaces, refusal and lease types, formatter, linter and compiler checks that fail the build. Conclusion: the interfaces are there to build against.

--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Daemon, operator client, demo, checker and benches. */
+package org.guavagw.cli;
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/package-info.java
@@ -0,0 +1,2 @@
+/** Public API of the router library. */
+package org.guavagw;
--- /dev/null
+++ b/guavagw-platform/src/main/java/org/guavagw/platform/Row.java
@@ -0,0 +1,8 @@
+package org.guavagw.platform;
+
+/**
+ * A row as it was read. The array must not be changed.
+ *
+ * @param version number that the table service raises with each write of the row
+ */
+public record Row(RowKey key, long version, byte[] value) {}
--- /dev/null
+++ b/guavagw-platform/src/main/java/org/guavagw/platform/WeightStore.java
@@ -0,0 +1,10 @@
+package org.guavagw.platform;
+
+import io.vavr.control.Either;
+import org.guavagw.config.VersionRef;
+
+/** The platform's rate-limited store of model weights. Implementations are thread-safe. */
+public interface WeightStore {
+  /** Asks for leave to have a backend server load a version now; refused above the rate limit. */
+  Either<PlatformFailure, Void> reserveDownload(VersionRef version, String backendServer);
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and for backend servers. */
+package org.guavagw.standins;
