--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/engine/EngineRequest.java
@@ -0,0 +1,17 @@
+package org.guavagw.internal.engine;
+
+import java.time.Duration;
+
+/**
+ * A request as one backend server gets it. The array must not be changed.
+ *
+ * @param body chat completion request in JSON, with the model and version in place
+ * @param resumeOffset number of chunks already received from an earlier connection, else 0
+ */
+public record EngineRequest(String requestId, byte[] body, Duration timeLeft, int resumeOffset) {
+
+  /** The same request, to be taken up after chunks that already arrived. */
+  public EngineRequest resumedAfter(int chunks) {
+    return new EngineRequest(requestId, body, timeLeft, chunks);
+  }
+}
