--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/PolicyResult.java
@@ -0,0 +1,10 @@
+package org.guavagw.cli.bench;
+
+import java.util.List;
+
+/** Figures of one policy. Immutable. */
+public record PolicyResult(String policy, List<Figure> figures) {
+  public PolicyResult {
+    figures = List.copyOf(figures);
+  }
+}
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/Scenarios.java
@@ -0,0 +1,14 @@
+package org.guavagw.cli.bench;
+
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import org.guavagw.cli.bench.policy.PolicyScenarios;
+
+/** Every scenario of the policy bench, in the order in which they run. */
+final class Scenarios {
+  private Scenarios() {}
+
+  static List<Scenario> all() {
+    return ImmutableList.<Scenario>builder().addAll(PolicyScenarios.all()).build();
+  }
+}
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benches that run decisions in virtual time. */
+package org.guavagw.cli.bench;
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/package-info.java
@@ -0,0 +1,2 @@
+/** Scenarios that measure cascades, learnt quality and rollouts. */
+package org.guavagw.cli.bench.policy;
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/CascadeProgress.java
@@ -0,0 +1,15 @@
+package org.guavagw.internal.cascade;
+
+import java.time.Duration;
+import java.util.List;
+
+/** A plan and the answers so far in the order in which they came, at least one. Immutable. */
+public record CascadeProgress(
+    CascadePlan plan,
+    List<AnswerReport> answers,
+    Duration remainingTime,
+    long remainingBudgetMicros) {
+  public CascadeProgress {
+    answers = List.copyOf(answers);
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/CascadeStep.java
@@ -0,0 +1,12 @@
+package org.guavagw.internal.cascade;
+
+import java.time.Duration;
+import org.guavagw.config.VersionRef;
+
+/**
+ * A step that the request may take. Immutable.
+ *
+ * @param costMicros expected cost of the answer in micro-units of currency
+ * @param latency expected time until the whole answer
+ */
+public record CascadeStep(VersionRef version, long costMicros, Duration latency) {}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which steps of a cascade answer a request. */
+package org.guavagw.internal.cascade;
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/quality/package-info.java
@@ -0,0 +1,2 @@
+/** What ratings say about the quality of versions. */
+package org.guavagw.internal.quality;
