--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/config/ConfigCodec.java
@@ -0,0 +1,35 @@
+package org.guavagw.internal.config;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+
+/** Writes records of the configuration as compressed JSON and reads them back. Thread-safe. */
+public final class ConfigCodec {
+  private final ObjectMapper mapper = JsonMapper.builder().build();
+
+  /** Serializes and compresses a record. */
+  public byte[] encode(Object value) {
+    var out = new ByteArrayOutputStream();
+    try (var gzip = new GZIPOutputStream(out)) {
+      mapper.writeValue(gzip, value);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return out.toByteArray();
+  }
+
+  /** Reads what {@link #encode} wrote. */
+  public <T> T decode(byte[] content, Class<T> type) {
+    try (var gzip = new GZIPInputStream(new ByteArrayInputStream(content))) {
+      return mapper.readValue(gzip, type);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/config/TableConfigHistory.java
@@ -0,0 +1,268 @@
+package org.guavagw.internal.config;
+
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.Bytes;
+import io.vavr.control.Either;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import org.guavagw.config.GatewayConfig;
+import org.guavagw.platform.CommitResult;
+import org.guavagw.platform.Condition;
+import org.guavagw.platform.Mutation;
+import org.guavagw.platform.PlatformFailure;
+import org.guavagw.platform.Row;
+import org.guavagw.platform.RowKey;
+import org.guavagw.platform.TableService;
+import org.guavagw.platform.Transaction;
+
+/**
+ * Keeps the configuration history in the table service.
+ *
+ * <p>Invariants: one transaction accepts a change, and it replaces the head row that was read, so
+ * revisions have no gaps and no two changes share one; every revision is a delta against the one
+ * before, and the newest checkpoint plus the deltas behind it give the newest configuration.
+ * Thread-safe.
+ */
+public final class TableConfigHistory implements ConfigHistory {
+  private static final long CHECKPOINT_INTERVAL_REVISIONS = 64;
+
+  private final TableService tables;
+  private final InstantSource clock;
+  private final ConfigCodec codec = new ConfigCodec();
+
+  public TableConfigHistory(TableService tables, InstantSource clock) {
+    this.tables = tables;
+    this.clock = clock;
+  }
+
+  @Override
+  public Either<ConfigFailure, RevisionedConfig> latest() {
+    return latestFrom(RevisionedConfig.NONE);
+  }
+
+  /** The newest configuration, reading only what is new since the one given. */
+  public Either<ConfigFailure, RevisionedConfig> latestFrom(RevisionedConfig known) {
+    return readHead().flatMap(h -> load(h.record(), known));
+  }
+
+  /** The newest accepted revision; one read of one row. */
+  public Either<ConfigFailure, Long> latestRevision() {
+    return readHead().map(h -> h.record().revision());
+  }
+
+  @Override
+  public Either<ConfigFailure, RevisionedConfig> apply(ConfigChange change) {
+    return accepted(change)
+        .flatMap(
+            earlier ->
+                earlier
+                    .map(a -> resultOf(change, a))
+                    .orElseGet(() -> readHead().flatMap(h -> applyOn(h, change))));
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> resultOf(
+      ConfigChange change, AcceptedChange accepted) {
+    boolean sameDocument = accepted.contentHash().equals(contentHash(change));
+    return sameDocument
+        ? Either.right(new RevisionedConfig(accepted.revision(), change.config()))
+        : Either.left(new ConfigFailure.Conflict(accepted.revision()));
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> applyOn(Head head, ConfigChange change) {
+    if (head.record().revision() != change.expectedRevision()) {
+      return afterConflict(change, head.record().revision());
+    }
+    return load(head.record(), RevisionedConfig.NONE)
+        .flatMap(before -> commit(change, head, before));
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> commit(
+      ConfigChange change, Head head, RevisionedConfig before) {
+    long revision = before.revision() + 1;
+    Transaction transaction = transaction(change, head, before, revision);
+    Either<PlatformFailure, CommitResult> result = tables.commit(transaction);
+    if (result.isLeft()) {
+      return afterFailure(change, result.getLeft());
+    }
+    if (result.get() instanceof CommitResult.Conflict) {
+      return readHead().flatMap(h -> afterConflict(change, h.record().revision()));
+    }
+    return Either.right(new RevisionedConfig(revision, change.config()));
+  }
+
+  private Transaction transaction(
+      ConfigChange change, Head head, RevisionedConfig before, long revision) {
+    ConfigEntry entry =
+        new ConfigEntry(
+            revision, change.changeId(), change.author(), change.comment(), clock.millis());
+    RevisionRecord record = record(entry, before, change);
+    List<Mutation> mutations = new ArrayList<>();
+    HeadRecord next = head.record().at(revision);
+    if (needsCheckpoint(head.record(), record)) {
+      mutations.addAll(ConfigRows.chunks(revision, codec.encode(change.config())));
+      next = new HeadRecord(revision, revision, mutations.size());
+    }
+    mutations.add(new Mutation.Put(ConfigRows.HEAD, codec.encode(next)));
+    mutations.add(new Mutation.Put(ConfigRows.revision(revision), codec.encode(record)));
+    mutations.add(
+        new Mutation.Put(ConfigRows.change(change.changeId()), acceptance(change, revision)));
+    return new Transaction(conditions(change, head, revision), mutations);
+  }
+
+  private RevisionRecord record(ConfigEntry entry, RevisionedConfig before, ConfigChange change) {
+    ConfigDelta delta = ConfigDelta.between(before.config(), change.config());
+    RevisionRecord record = new RevisionRecord(entry, true, delta);
+    boolean exact = ConfigDelta.sameContent(delta.applyTo(before.config()), change.config());
+    boolean fits = codec.encode(record).length <= ConfigRows.MAX_ROW_BYTES;
+    return exact && fits ? record : RevisionRecord.withoutDelta(entry);
+  }
+
+  private static boolean needsCheckpoint(HeadRecord head, RevisionRecord record) {
+    return !record.hasDelta()
+        || head.checkpoint() == 0
+        || record.entry().revision() - head.checkpoint() >= CHECKPOINT_INTERVAL_REVISIONS;
+  }
+
+  private byte[] acceptance(ConfigChange change, long revision) {
+    return codec.encode(new AcceptedChange(revision, contentHash(change)));
+  }
+
+  private String contentHash(ConfigChange change) {
+    return Hashing.sha256().hashBytes(codec.encode(change.config())).toString();
+  }
+
+  private static List<Condition> conditions(ConfigChange change, Head head, long revision) {
+    Condition unchanged =
+        head.row()
+            .<Condition>map(r -> new Condition.VersionIs(r.key(), r.version()))
+            .orElseGet(() -> new Condition.Absent(ConfigRows.HEAD));
+    return List.of(
+        unchanged,
+        new Condition.Absent(ConfigRows.revision(revision)),
+        new Condition.Absent(ConfigRows.change(change.changeId())));
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> afterConflict(ConfigChange change, long current) {
+    return accepted(change)
+        .flatMap(
+            earlier ->
+                earlier
+                    .map(a -> resultOf(change, a))
+                    .orElseGet(() -> Either.left(new ConfigFailure.Conflict(current))));
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> afterFailure(
+      ConfigChange change, PlatformFailure failure) {
+    if (failure.kind() == PlatformFailure.Kind.NOT_APPLIED) {
+      return Either.left(unavailable(failure));
+    }
+    Either<ConfigFailure, Optional<AcceptedChange>> readBack = accepted(change);
+    if (readBack.isLeft() || readBack.get().isEmpty()) {
+      return Either.left(new ConfigFailure.OutcomeUnknown(change.changeId()));
+    }
+    return resultOf(change, readBack.get().get());
+  }
+
+  private Either<ConfigFailure, Optional<AcceptedChange>> accepted(ConfigChange change) {
+    return read(ConfigRows.change(change.changeId()))
+        .map(row -> row.map(r -> codec.decode(r.value(), AcceptedChange.class)));
+  }
+
+  @Override
+  public Either<ConfigFailure, List<ConfigEntry>> history(int limit) {
+    return readHead()
+        .flatMap(h -> records(Math.max(0, h.record().revision() - limit), h.record().revision()))
+        .map(records -> records.stream().map(RevisionRecord::entry).toList())
+        .map(TableConfigHistory::reversed);
+  }
+
+  private static List<ConfigEntry> reversed(List<ConfigEntry> entries) {
+    List<ConfigEntry> newestFirst = new ArrayList<>(entries);
+    Collections.reverse(newestFirst);
+    return newestFirst;
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> load(HeadRecord head, RevisionedConfig known) {
+    if (head.revision() <= known.revision()) {
+      return Either.right(known);
+    }
+    if (known.revision() >= head.checkpoint()) {
+      return extend(known, head.revision());
+    }
+    return checkpoint(head).flatMap(c -> extend(c, head.revision()));
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> extend(RevisionedConfig from, long to) {
+    return records(from.revision(), to)
+        .flatMap(
+            records -> {
+              RevisionedConfig config = from;
+              for (RevisionRecord record : records) {
+                config = record.applyTo(config).orElse(config);
+              }
+              return config.revision() == to
+                  ? Either.right(config)
+                  : Either.left(new ConfigFailure.StoreUnavailable("revisions are missing"));
+            });
+  }
+
+  private Either<ConfigFailure, RevisionedConfig> checkpoint(HeadRecord head) {
+    int chunks = head.checkpointChunks();
+    return range(
+            ConfigRows.CHECKPOINTS,
+            ConfigRows.chunkKey(head.checkpoint(), 0),
+            ConfigRows.chunkKey(head.checkpoint(), chunks),
+            chunks)
+        .flatMap(
+            rows -> {
+              if (rows.size() != chunks) {
+                return Either.left(new ConfigFailure.StoreUnavailable("checkpoint is incomplete"));
+              }
+              byte[] content = Bytes.concat(rows.stream().map(Row::value).toArray(byte[][]::new));
+              return Either.right(
+                  new RevisionedConfig(
+                      head.checkpoint(), codec.decode(content, GatewayConfig.class)));
+            });
+  }
+
+  private Either<ConfigFailure, List<RevisionRecord>> records(long after, long to) {
+    return range(
+            ConfigRows.REVISIONS,
+            ConfigRows.revisionKey(after + 1),
+            ConfigRows.revisionKey(to + 1),
+            (int) (to - after))
+        .map(
+            rows -> rows.stream().map(r -> codec.decode(r.value(), RevisionRecord.class)).toList());
+  }
+
+  private Either<ConfigFailure, Head> readHead() {
+    return read(ConfigRows.HEAD)
+        .map(
+            row ->
+                new Head(
+                    row,
+                    row.map(r -> codec.decode(r.value(), HeadRecord.class))
+                        .orElse(HeadRecord.NONE)));
+  }
+
+  private Either<ConfigFailure, Optional<Row>> read(RowKey key) {
+    return tables.read(key).mapLeft(TableConfigHistory::unavailable);
+  }
+
+  private Either<ConfigFailure, List<Row>> range(String table, String from, String to, int limit) {
+    return tables.range(table, from, to, limit).mapLeft(TableConfigHistory::unavailable);
+  }
+
+  private static ConfigFailure unavailable(PlatformFailure failure) {
+    return new ConfigFailure.StoreUnavailable(failure.reason());
+  }
+
+  /** What the row of a change id says. Immutable. */
+  private record AcceptedChange(long revision, String contentHash) {}
+
+  /** The head row as it was read, if there is one, and what it says. Immutable. */
+  private record Head(Optional<Row> row, HeadRecord record) {}
+}
