Give placement and limits their types, with simple versions

Cause: the request pipeline needs the decisions' interfaces before they are tuned. The two records of the platform with arrays say so to the compiler's checks, so that the module builds.

--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/package-info.java
@@ -0,0 +1,2 @@
+/** Admission, fair queueing and adaptive limits; free of I/O. */
+package org.guavagw.internal.limits;
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendIndex.java
@@ -0,0 +1,137 @@
+package org.guavagw.internal.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.guavagw.config.BackendServerConfig;
+import org.guavagw.config.DataCentreConfig;
+import org.guavagw.config.DataCentreState;
+import org.guavagw.config.GatewayConfig;
+import org.guavagw.config.PlainServiceConfig;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.config.RevisionedConfig;
+
+/**
+ * Backend servers by what they serve and by data centre, for one configuration revision.
+ *
+ * <p>Invariant: holds no backend server that is leaving or whose data centre is out of service.
+ * Immutable.
+ */
+public final class BackendIndex {
+  private final long revision;
+  private final Map<PlacementTarget, List<CandidatePool>> pools;
+  private final Map<String, DataCentreConfig> dataCentres;
+  private final Map<String, BackendServerConfig> eligible;
+  private final Map<String, Long> returnedNanos;
+
+  private BackendIndex(
+      long revision,
+      Map<PlacementTarget, List<CandidatePool>> pools,
+      Map<String, DataCentreConfig> dataCentres,
+      Map<String, BackendServerConfig> eligible,
+      Map<String, Long> returnedNanos) {
+    this.revision = revision;
+    this.pools = Map.copyOf(pools);
+    this.dataCentres = Map.copyOf(dataCentres);
+    this.eligible = Map.copyOf(eligible);
+    this.returnedNanos = Map.copyOf(returnedNanos);
+  }
+
+  /** The index of a first revision. */
+  public static BackendIndex of(RevisionedConfig revisioned) {
+    return build(revisioned, Map.of());
+  }
+
+  /** The index of a revision that follows this one; notes which data centres came back. */
+  public BackendIndex next(RevisionedConfig revisioned, long nowNanos) {
+    Map<String, Long> returned = new HashMap<>();
+    for (DataCentreConfig dc : revisioned.config().dataCentres()) {
+      DataCentreConfig before = dataCentres.get(dc.id());
+      boolean in = dc.state() == DataCentreState.IN;
+      if (in && before != null && before.state() == DataCentreState.OUT) {
+        returned.put(dc.id(), nowNanos);
+      } else if (in && returnedNanos.containsKey(dc.id())) {
+        returned.put(dc.id(), returnedNanos.get(dc.id()));
+      }
+    }
+    return build(revisioned, returned);
+  }
+
+  /** The configuration revision that this was made from. */
+  public long revision() {
+    return revision;
+  }
+
+  /** A backend server that may get new work, or empty. */
+  public Optional<BackendServerConfig> server(String id) {
+    return Optional.ofNullable(eligible.get(id));
+  }
+
+  /** All backend servers that may get new work for a target. */
+  public List<BackendServerConfig> servers(PlacementTarget target) {
+    return pools(target).stream().flatMap(p -> p.servers().stream()).toList();
+  }
+
+  List<CandidatePool> pools(PlacementTarget target) {
+    return pools.getOrDefault(target, List.of());
+  }
+
+  Optional<Long> returnedNanos(String dataCentre) {
+    return Optional.ofNullable(returnedNanos.get(dataCentre));
+  }
+
+  boolean sameRegion(String a, String b) {
+    DataCentreConfig first = dataCentres.get(a);
+    DataCentreConfig second = dataCentres.get(b);
+    return first != null && second != null && first.region().equals(second.region());
+  }
+
+  private static BackendIndex build(RevisionedConfig revisioned, Map<String, Long> returned) {
+    GatewayConfig config = revisioned.config();
+    Map<String, DataCentreConfig> dataCentres = new HashMap<>();
+    config.dataCentres().forEach(dc -> dataCentres.put(dc.id(), dc));
+    Map<String, BackendServerConfig> eligible = new LinkedHashMap<>();
+    config.backendServers().stream()
+        .filter(s -> !s.leaving() && isIn(dataCentres.get(s.dataCentre())))
+        .forEach(s -> eligible.put(s.id(), s));
+    Map<PlacementTarget, List<BackendServerConfig>> serving = new HashMap<>();
+    for (BackendServerConfig server : eligible.values()) {
+      for (VersionRef ref : server.serves()) {
+        add(serving, new PlacementTarget.Version(ref), server);
+      }
+    }
+    for (PlainServiceConfig service : config.plainServices()) {
+      service.backendServers().stream()
+          .map(eligible::get)
+          .filter(s -> s != null)
+          .forEach(s -> add(serving, new PlacementTarget.Service(service.id()), s));
+    }
+    Map<PlacementTarget, List<CandidatePool>> pools = new HashMap<>();
+    serving.forEach((target, servers) -> pools.put(target, byDataCentre(servers)));
+    return new BackendIndex(revisioned.revision(), pools, dataCentres, eligible, returned);
+  }
+
+  private static boolean isIn(DataCentreConfig dc) {
+    return dc != null && dc.state() == DataCentreState.IN;
+  }
+
+  private static void add(
+      Map<PlacementTarget, List<BackendServerConfig>> serving,
+      PlacementTarget target,
+      BackendServerConfig server) {
+    serving.computeIfAbsent(target, t -> new ArrayList<>()).add(server);
+  }
+
+  private static List<CandidatePool> byDataCentre(List<BackendServerConfig> servers) {
+    Map<String, List<BackendServerConfig>> grouped = new LinkedHashMap<>();
+    for (BackendServerConfig server : servers) {
+      grouped.computeIfAbsent(server.dataCentre(), d -> new ArrayList<>()).add(server);
+    }
+    return grouped.entrySet().stream()
+        .map(e -> new CandidatePool(e.getKey(), e.getValue()))
+        .toList();
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendView.java
@@ -0,0 +1,102 @@
+package org.guavagw.internal.placement;
+
+import java.time.Duration;
+import java.util.List;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.limits.CircuitBreaker;
+import org.guavagw.internal.limits.ConcurrencyLimiter;
+import org.guavagw.internal.limits.Outcome;
+
+/**
+ * What this entry knows about one backend server.
+ *
+ * <p>Invariant: it counts as warm only while evidence of the same boot is recent. Thread-safe.
+ */
+final class BackendView {
+  private static final long WARM_EVIDENCE_NANOS = Duration.ofSeconds(10).toNanos();
+  private static final long REPORT_EXPIRY_NANOS = Duration.ofSeconds(10).toNanos();
+  private static final int INITIAL_LIMIT = 16;
+  private static final int MAX_LIMIT = 256;
+  private static final double LATENCY_WEIGHT = 0.1;
+
+  private final CircuitBreaker circuit = new CircuitBreaker();
+  private final ConcurrencyLimiter limiter = new ConcurrencyLimiter(INITIAL_LIMIT, MAX_LIMIT);
+  private int inFlight;
+  private LoadReport report;
+  private int inFlightAtReport;
+  private String bootId = "";
+  private boolean warm;
+  private long warmNanos;
+  private double latencyNanos;
+
+  CircuitBreaker circuit() {
+    return circuit;
+  }
+
+  ConcurrencyLimiter limiter() {
+    return limiter;
+  }
+
+  synchronized void onDispatched(long nowNanos) {
+    inFlight++;
+    limiter.onDispatched();
+    circuit.onDispatched(nowNanos);
+  }
+
+  synchronized void onFinished(Outcome outcome, long nowNanos) {
+    inFlight = Math.max(0, inFlight - 1);
+    limiter.onFinished(outcome);
+    circuit.onFinished(outcome.kind(), nowNanos);
+    if (outcome.kind() == Outcome.Kind.UNREACHABLE) {
+      warm = false;
+    }
+    if (outcome.kind() == Outcome.Kind.COMPLETED) {
+      double sample = outcome.firstByteNanos();
+      latencyNanos += latencyNanos == 0 ? sample : LATENCY_WEIGHT * (sample - latencyNanos);
+    }
+  }
+
+  synchronized void onLoadReport(LoadReport next) {
+    if (report != null && next.receivedNanos() - report.receivedNanos() < 0) {
+      return;
+    }
+    report = next;
+    inFlightAtReport = inFlight;
+    onBootEvidence(next.bootId(), next.cold(), next.receivedNanos());
+  }
+
+  /** Learns the state of a boot and says whether it is another boot than before. */
+  synchronized boolean onBootEvidence(String boot, boolean cold, long nowNanos) {
+    boolean other = !bootId.equals(boot);
+    bootId = boot;
+    warm = !cold;
+    warmNanos = nowNanos;
+    return other;
+  }
+
+  synchronized boolean isWarm(long nowNanos) {
+    return warm && nowNanos - warmNanos < WARM_EVIDENCE_NANOS;
+  }
+
+  synchronized boolean isLoaded(VersionRef ref) {
+    List<VersionRef> loaded = report == null ? List.of() : report.versions();
+    return loaded.isEmpty() || loaded.contains(ref);
+  }
+
+  synchronized int inFlight() {
+    return inFlight;
+  }
+
+  /** Estimated requests at the backend server now, from all entries. */
+  synchronized double estimatedRequests(long nowNanos) {
+    if (report == null || nowNanos - report.receivedNanos() > REPORT_EXPIRY_NANOS) {
+      return inFlight;
+    }
+    double reported = report.running() + report.waiting();
+    return Math.max(inFlight, reported + inFlight - inFlightAtReport);
+  }
+
+  synchronized double latencyNanos() {
+    return latencyNanos;
+  }
+}
--- a/guavagw-platform/src/main/java/org/guavagw/platform/Mutation.java
+++ b/guavagw-platform/src/main/java/org/guavagw/platform/Mutation.java
@@ -6,6 +6,7 @@
   RowKey key();
 
   /** Writes the row. */
+  @SuppressWarnings("ArrayRecordComponent")
   record Put(RowKey key, byte[] value) implements Mutation {}
 
   /** Removes the row. */
--- a/guavagw-platform/src/main/java/org/guavagw/platform/Row.java
+++ b/guavagw-platform/src/main/java/org/guavagw/platform/Row.java
@@ -5,4 +5,5 @@
  *
  * @param version number that the table service raises with each write of the row
  */
+@SuppressWarnings("ArrayRecordComponent")
 public record Row(RowKey key, long version, byte[] value) {}
