--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/billing/BillSweeper.java
@@ -0,0 +1,163 @@
+package org.guavagw.internal.billing;
+
+import com.google.common.base.Ticker;
+import com.google.common.collect.Lists;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.guavagw.internal.lease.Lease;
+import org.guavagw.internal.lease.LeaseService;
+import org.guavagw.platform.CommitResult;
+import org.guavagw.platform.Mutation;
+import org.guavagw.platform.PlatformFailure;
+import org.guavagw.platform.Row;
+import org.guavagw.platform.RowKey;
+import org.guavagw.platform.TableService;
+import org.guavagw.platform.Transaction;
+
+/**
+ * Bills the open intents of entries whose life has ended.
+ *
+ * <p>Closes a journal before it reads it, so that nothing of the owner can follow. Each of its
+ * writes depends on the version of the journal's row and changes it, so that of two sweepers one
+ * writes. The lease only saves work. Confined to one control thread.
+ */
+public final class BillSweeper {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String LEASE_NAME = "bill-sweeper";
+  private static final int JOURNALS_PER_SWEEP = 1_000;
+  private static final int BILLS_PER_SEGMENT = 500;
+  private static final String FIRST_KEY = "";
+  private static final String AFTER_LAST_KEY = "\uffff";
+
+  private final Map<RowKey, Long> endedSinceNanos = new HashMap<>();
+  private final TableService table;
+  private final JournalTable journals;
+  private final BillLedger ledger;
+  private final LeaseService leases;
+  private final EntryLiveness liveness;
+  private final UnknownOutcomeCharge charge;
+  private final Duration delay;
+  private final Ticker ticker;
+
+  /**
+   * A sweeper.
+   *
+   * @param delay how long an entry must have been seen ended, so that a peer that took over its
+   *     unwritten segments can write them first
+   */
+  public BillSweeper(
+      TableService table,
+      LeaseService leases,
+      EntryLiveness liveness,
+      UnknownOutcomeCharge charge,
+      Duration delay,
+      Ticker ticker) {
+    this.table = table;
+    this.journals = new JournalTable(table);
+    this.ledger = new BillLedger(table);
+    this.leases = leases;
+    this.liveness = liveness;
+    this.charge = charge;
+    this.delay = delay;
+    this.ticker = ticker;
+  }
+
+  /** Sweeps every journal that is due; gives back how many it finished. */
+  public Either<BillFailure, Integer> sweep() {
+    Either<BillFailure, Lease> lease =
+        leases.acquire(LEASE_NAME).mapLeft(failure -> new BillFailure.NotHolder());
+    if (lease.isLeft()) {
+      return Either.left(lease.getLeft());
+    }
+    Either<PlatformFailure, List<Row>> live =
+        table.range(JournalId.LIVE_TABLE, FIRST_KEY, AFTER_LAST_KEY, JOURNALS_PER_SWEEP);
+    if (live.isLeft()) {
+      endedSinceNanos.clear();
+      return Either.left(JournalTable.unavailable(live.getLeft()));
+    }
+    endedSinceNanos.keySet().retainAll(Lists.transform(live.get(), Row::key));
+    List<Row> due = live.get().stream().filter(this::isDue).toList();
+    int finished = 0;
+    for (Row row : due) {
+      if (!lease.get().isSafe()) {
+        return Either.left(new BillFailure.NotHolder());
+      }
+      finished += sweepOne(row) ? 1 : 0;
+    }
+    return Either.right(finished);
+  }
+
+  private boolean isDue(Row row) {
+    JournalRow journal = JournalRow.CODEC.decode(row.value());
+    if (journal.state() == JournalRow.State.CLOSED) {
+      return true;
+    }
+    if (!liveness.hasEnded(journal.id().entry(), journal.id().incarnation())) {
+      endedSinceNanos.remove(row.key());
+      return false;
+    }
+    long now = ticker.read();
+    Long since = endedSinceNanos.putIfAbsent(row.key(), now);
+    return since != null && now - since >= delay.toNanos();
+  }
+
+  private boolean sweepOne(Row row) {
+    JournalRow journal = JournalRow.CODEC.decode(row.value());
+    Either<BillFailure, Boolean> result =
+        journal.state() == JournalRow.State.OPEN
+            ? close(row, journal)
+            : billUnsettled(row, journal.id());
+    return result
+        .peekLeft(failure -> logger.atWarning().log("%s not swept: %s", journal.id(), failure))
+        .getOrElse(false);
+  }
+
+  private Either<BillFailure, Boolean> close(Row row, JournalRow journal) {
+    Mutation put = new Mutation.Put(row.key(), JournalRow.CODEC.encode(journal.closed()));
+    return table
+        .commit(new Transaction(List.of(JournalTable.unchanged(row)), List.of(put)))
+        .mapLeft(JournalTable::unavailable)
+        .flatMap(result -> readClosed(row.key(), result));
+  }
+
+  private Either<BillFailure, Boolean> readClosed(RowKey key, CommitResult result) {
+    if (result instanceof CommitResult.Conflict) {
+      return Either.right(false);
+    }
+    return table
+        .read(key)
+        .mapLeft(JournalTable::unavailable)
+        .flatMap(row -> row.isPresent() ? billClosed(row.get()) : Either.right(false));
+  }
+
+  private Either<BillFailure, Boolean> billClosed(Row row) {
+    JournalRow journal = JournalRow.CODEC.decode(row.value());
+    if (journal.state() != JournalRow.State.CLOSED) {
+      return Either.right(false);
+    }
+    return billUnsettled(row, journal.id());
+  }
+
+  private Either<BillFailure, Boolean> billUnsettled(Row row, JournalId id) {
+    return ledger
+        .unsettledOf(id)
+        .mapLeft(JournalTable::unavailable)
+        .flatMap(openings -> writeBills(row, id, openings));
+  }
+
+  private Either<BillFailure, Boolean> writeBills(
+      Row row, JournalId id, List<BillOpening> openings) {
+    List<BillOpening> part = openings.subList(0, Math.min(BILLS_PER_SEGMENT, openings.size()));
+    boolean isLast = part.size() == openings.size();
+    List<Bill> bills = part.stream().map(o -> Bill.unknownOutcome(o, charge.micros(o))).toList();
+    byte[] content = SegmentRow.CODEC.encode(new SegmentRow(List.of(), bills));
+    Mutation put = new Mutation.Put(id.sweptSegmentKey(row.version()), content);
+    return isLast
+        ? journals.finish(id, row.version(), put)
+        : journals.rewrite(row, put).map(done -> false);
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/billing/JournalTable.java
@@ -0,0 +1,129 @@
+package org.guavagw.internal.billing;
+
+import io.vavr.control.Either;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.guavagw.platform.CommitResult;
+import org.guavagw.platform.Condition;
+import org.guavagw.platform.Mutation;
+import org.guavagw.platform.PlatformFailure;
+import org.guavagw.platform.Row;
+import org.guavagw.platform.RowKey;
+import org.guavagw.platform.TableService;
+import org.guavagw.platform.Transaction;
+
+/**
+ * Journals as rows of the table service. A segment takes effect only while its journal is open, and
+ * only once. Thread-safe; blocks on the table service.
+ */
+final class JournalTable {
+  private static final byte[] EMPTY = new byte[0];
+
+  private final TableService table;
+
+  JournalTable(TableService table) {
+    this.table = table;
+  }
+
+  /** Opens a journal unless it is open; gives back the version of its row. */
+  Either<BillFailure, Long> open(JournalId id) {
+    return table
+        .read(id.liveKey())
+        .mapLeft(JournalTable::unavailable)
+        .flatMap(row -> row.isPresent() ? versionIfOpen(id, row.get()) : create(id));
+  }
+
+  private Either<BillFailure, Long> versionIfOpen(JournalId id, Row row) {
+    JournalRow journal = JournalRow.CODEC.decode(row.value());
+    if (journal.state() != JournalRow.State.OPEN) {
+      return Either.left(new BillFailure.JournalClosed(id));
+    }
+    return Either.right(row.version());
+  }
+
+  private Either<BillFailure, Long> create(JournalId id) {
+    byte[] value = JournalRow.CODEC.encode(JournalRow.open(id));
+    Transaction transaction =
+        new Transaction(
+            List.of(new Condition.Absent(id.liveKey()), new Condition.Absent(id.doneKey())),
+            List.of(new Mutation.Put(id.liveKey(), value)));
+    Either<PlatformFailure, CommitResult> result = table.commit(transaction);
+    return table
+        .read(id.liveKey())
+        .mapLeft(JournalTable::unavailable)
+        .flatMap(row -> row.isPresent() ? versionIfOpen(id, row.get()) : missing(id, result));
+  }
+
+  private static Either<BillFailure, Long> missing(
+      JournalId id, Either<PlatformFailure, CommitResult> result) {
+    return Either.left(
+        result.fold(JournalTable::unavailable, decided -> new BillFailure.JournalClosed(id)));
+  }
+
+  /** Writes a segment unless the journal holds it. */
+  Either<BillFailure, Void> append(PreparedSegment segment, long journalVersion) {
+    RowKey live = segment.journal().liveKey();
+    RowKey key = segment.journal().segmentKey(segment.number());
+    Transaction transaction =
+        new Transaction(
+            List.of(new Condition.Absent(key), new Condition.VersionIs(live, journalVersion)),
+            List.of(new Mutation.Put(key, segment.content())));
+    Either<PlatformFailure, CommitResult> result = table.commit(transaction);
+    if (result.isRight() && result.get() instanceof CommitResult.Committed) {
+      return Either.right(null);
+    }
+    return readBack(segment, result);
+  }
+
+  private Either<BillFailure, Void> readBack(
+      PreparedSegment segment, Either<PlatformFailure, CommitResult> result) {
+    if (result.isLeft() && result.getLeft().kind() == PlatformFailure.Kind.NOT_APPLIED) {
+      return Either.left(unavailable(result.getLeft()));
+    }
+    Either<PlatformFailure, Optional<Row>> read =
+        table.read(segment.journal().segmentKey(segment.number()));
+    if (read.isLeft()) {
+      return Either.left(unavailable(read.getLeft()));
+    }
+    if (read.get().isPresent() && Arrays.equals(read.get().get().value(), segment.content())) {
+      return Either.right(null);
+    }
+    return Either.left(
+        result.fold(
+            JournalTable::unavailable,
+            conflict -> new BillFailure.JournalClosed(segment.journal())));
+  }
+
+  /** Ends a journal with its last segment; gives back whether it was still there unchanged. */
+  Either<BillFailure, Boolean> finish(JournalId id, long journalVersion, Mutation lastSegment) {
+    return commit(
+        new Transaction(
+            List.of(new Condition.VersionIs(id.liveKey(), journalVersion)),
+            List.of(
+                lastSegment,
+                new Mutation.Delete(id.liveKey()),
+                new Mutation.Put(id.doneKey(), EMPTY))));
+  }
+
+  /** Writes a segment and raises the version of the journal's row. */
+  Either<BillFailure, Boolean> rewrite(Row journal, Mutation segment) {
+    Mutation same = new Mutation.Put(journal.key(), journal.value());
+    return commit(new Transaction(List.of(unchanged(journal)), List.of(segment, same)));
+  }
+
+  private Either<BillFailure, Boolean> commit(Transaction transaction) {
+    return table
+        .commit(transaction)
+        .mapLeft(JournalTable::unavailable)
+        .map(CommitResult.Committed.class::isInstance);
+  }
+
+  static Condition unchanged(Row row) {
+    return new Condition.VersionIs(row.key(), row.version());
+  }
+
+  static BillFailure unavailable(PlatformFailure failure) {
+    return new BillFailure.StoreUnavailable(failure.reason());
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/explain/ExclusionRule.java
@@ -0,0 +1,20 @@
+package org.guavagw.internal.explain;
+
+/** The rule that ruled out a candidate of a request. */
+public enum ExclusionRule {
+  NOT_ALLOWED,
+  WITHDRAWN,
+  ROLLOUT_SHARE,
+  OTHER_VERSION_PINNED,
+  BUDGET,
+  QUALITY_TARGET,
+  DATA_CENTRE_OUT,
+  LEAVING,
+  COLD_START,
+  CIRCUIT_OPEN,
+  QUEUE_FULL,
+  NOT_LOADED,
+  UNREACHABLE,
+  ALREADY_TRIED,
+  SCORED_LOWER
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Decision records: how they are gathered, kept and found again. */
+package org.guavagw.internal.explain;
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/lease/HeldLease.java
@@ -0,0 +1,45 @@
+package org.guavagw.internal.lease;
+
+import com.google.common.base.Ticker;
+
+/**
+ * A lease of this process. Its deadline only moves on by renewals; once lost it stays unsafe.
+ * Thread-safe.
+ */
+final class HeldLease implements Lease {
+  private final String name;
+  private final long fencingNumber;
+  private final Ticker ticker;
+  private volatile long safeUntilNanos;
+  private volatile boolean lost;
+
+  HeldLease(String name, long fencingNumber, Ticker ticker, long safeUntilNanos) {
+    this.name = name;
+    this.fencingNumber = fencingNumber;
+    this.ticker = ticker;
+    this.safeUntilNanos = safeUntilNanos;
+  }
+
+  @Override
+  public String name() {
+    return name;
+  }
+
+  @Override
+  public long fencingNumber() {
+    return fencingNumber;
+  }
+
+  @Override
+  public boolean isSafe() {
+    return !lost && ticker.read() - safeUntilNanos < 0;
+  }
+
+  void renewedUntil(long nanos) {
+    safeUntilNanos = nanos;
+  }
+
+  void lose() {
+    lost = true;
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/lease/TableLeaseService.java
@@ -0,0 +1,208 @@
+package org.guavagw.internal.lease;
+
+import com.google.common.base.Ticker;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.guavagw.platform.CommitResult;
+import org.guavagw.platform.Condition;
+import org.guavagw.platform.Mutation;
+import org.guavagw.platform.PlatformFailure;
+import org.guavagw.platform.Row;
+import org.guavagw.platform.RowKey;
+import org.guavagw.platform.TableService;
+import org.guavagw.platform.Transaction;
+
+/**
+ * Leases as rows of the table service.
+ *
+ * <p>No two processes compare clocks: a holder counts from before it sent its write and stops a
+ * margin early, a taker counts the whole duration from after it first read the row. A row is never
+ * deleted, so that fencing numbers never fall. Thread-safe: calls that write are serialised, {@link
+ * #held} never blocks.
+ */
+public final class TableLeaseService implements LeaseService {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String TABLE = "lease";
+
+  private final Map<String, HeldLease> held = new ConcurrentHashMap<>();
+  private final AtomicLong writeIds = new AtomicLong();
+  private final TableService table;
+  private final LeaseHolder self;
+  private final LeaseTerms terms;
+  private final Ticker ticker;
+  private final LeaseObservations observations;
+
+  public TableLeaseService(TableService table, LeaseHolder self, LeaseTerms terms, Ticker ticker) {
+    this.table = table;
+    this.self = self;
+    this.terms = terms;
+    this.ticker = ticker;
+    this.observations = new LeaseObservations(ticker);
+  }
+
+  /** Renews all leases again and again on the scheduler's thread until the future is cancelled. */
+  public ScheduledFuture<?> renewOn(ScheduledExecutorService scheduler) {
+    long periodMs = terms.renewalInterval().toMillis();
+    return scheduler.scheduleWithFixedDelay(
+        this::renewAll, periodMs, periodMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Renews every lease that is still safe, and drops those that are not. */
+  public void renewAll() {
+    for (String name : List.copyOf(held.keySet())) {
+      renew(name);
+    }
+  }
+
+  private void renew(String name) {
+    if (held(name).isEmpty()) {
+      drop(name);
+      return;
+    }
+    acquire(name)
+        .peekLeft(failure -> logger.atWarning().log("lease %s not renewed: %s", name, failure));
+  }
+
+  @Override
+  public synchronized Either<LeaseFailure, Lease> acquire(String name) {
+    Either<PlatformFailure, Optional<Row>> read = table.read(key(name));
+    if (read.isLeft()) {
+      return unavailable(read.getLeft());
+    }
+    if (read.get().isEmpty()) {
+      return write(name, new Condition.Absent(key(name)), 1);
+    }
+    return acquireExisting(name, read.get().get());
+  }
+
+  private Either<LeaseFailure, Lease> acquireExisting(String name, Row row) {
+    LeaseRow current = LeaseRow.CODEC.decode(row.value());
+    Condition unchanged = new Condition.VersionIs(row.key(), row.version());
+    if (current.isHeldBy(self) && held(name).isPresent()) {
+      return write(name, unchanged, current.fencingNumber());
+    }
+    drop(name);
+    if (current.released() || current.isHeldBy(self)) {
+      return write(name, unchanged, current.fencingNumber() + 1);
+    }
+    Duration duration = Duration.ofMillis(current.durationMs());
+    if (!observations.hasLapsed(name, row.version(), duration)) {
+      return Either.left(new LeaseFailure.HeldByOther(current.holder()));
+    }
+    return write(name, unchanged, current.fencingNumber() + 1);
+  }
+
+  private Either<LeaseFailure, Lease> write(String name, Condition condition, long fencingNumber) {
+    LeaseRow wanted = row(self.name(), fencingNumber);
+    long sentNanos = ticker.read();
+    Either<PlatformFailure, CommitResult> result = commit(condition, wanted);
+    if (result.isLeft()) {
+      return readBack(name, wanted, sentNanos, result.getLeft());
+    }
+    if (result.get() instanceof CommitResult.Conflict) {
+      return readBack(name, wanted, sentNanos, PlatformFailure.notApplied("lost a race"));
+    }
+    return Either.right(confirm(name, wanted, sentNanos));
+  }
+
+  private Either<LeaseFailure, Lease> readBack(
+      String name, LeaseRow wanted, long sentNanos, PlatformFailure failure) {
+    Either<PlatformFailure, Optional<Row>> read = table.read(key(name));
+    if (read.isLeft()) {
+      return unavailable(read.getLeft());
+    }
+    Optional<LeaseRow> current = read.get().map(r -> LeaseRow.CODEC.decode(r.value()));
+    if (current.isPresent() && current.get().equals(wanted)) {
+      return Either.right(confirm(name, wanted, sentNanos));
+    }
+    if (current.isEmpty() || current.get().released() || current.get().isHeldBy(self)) {
+      return unavailable(failure);
+    }
+    drop(name);
+    return Either.left(new LeaseFailure.HeldByOther(current.get().holder()));
+  }
+
+  private Lease confirm(String name, LeaseRow row, long sentNanos) {
+    observations.forget(name);
+    long safeNanos = terms.duration().minus(terms.safetyMargin()).toNanos();
+    HeldLease old = held.get(name);
+    if (old != null && old.fencingNumber() == row.fencingNumber()) {
+      old.renewedUntil(sentNanos + safeNanos);
+      return old;
+    }
+    HeldLease lease = new HeldLease(name, row.fencingNumber(), ticker, sentNanos + safeNanos);
+    held.put(name, lease);
+    return lease;
+  }
+
+  @Override
+  public Optional<Lease> held(String name) {
+    return Optional.<Lease>ofNullable(held.get(name)).filter(Lease::isSafe);
+  }
+
+  @Override
+  public synchronized void release(String name) {
+    HeldLease lease = held.get(name);
+    if (lease == null) {
+      return;
+    }
+    drop(name);
+    table
+        .read(key(name))
+        .peekLeft(failure -> logger.atInfo().log("lease %s lapses unreleased: %s", name, failure))
+        .peek(row -> row.ifPresent(r -> writeReleased(r, lease.fencingNumber())));
+  }
+
+  private void writeReleased(Row row, long fencingNumber) {
+    LeaseRow current = LeaseRow.CODEC.decode(row.value());
+    if (!current.isHeldBy(self) || current.fencingNumber() != fencingNumber) {
+      return;
+    }
+    Condition unchanged = new Condition.VersionIs(row.key(), row.version());
+    commit(unchanged, row("", fencingNumber))
+        .peekLeft(failure -> logger.atInfo().log("%s lapses unreleased: %s", row.key(), failure));
+  }
+
+  @Override
+  public void close() {
+    List.copyOf(held.keySet()).forEach(this::release);
+  }
+
+  private void drop(String name) {
+    HeldLease lease = held.remove(name);
+    if (lease != null) {
+      lease.lose();
+    }
+  }
+
+  private LeaseRow row(String holder, long fencingNumber) {
+    return new LeaseRow(
+        holder,
+        self.incarnation(),
+        fencingNumber,
+        terms.duration().toMillis(),
+        writeIds.incrementAndGet());
+  }
+
+  private Either<PlatformFailure, CommitResult> commit(Condition condition, LeaseRow row) {
+    Mutation put = new Mutation.Put(condition.key(), LeaseRow.CODEC.encode(row));
+    return table.commit(new Transaction(List.of(condition), List.of(put)));
+  }
+
+  private static RowKey key(String name) {
+    return new RowKey(TABLE, name);
+  }
+
+  private static <T> Either<LeaseFailure, T> unavailable(PlatformFailure failure) {
+    return Either.left(new LeaseFailure.StoreUnavailable(failure.reason()));
+  }
+}
