Add the request pipeline, dispatch, relay and caller API

Cause: requests have no way through the entry yet. Change: filters for authentication, models, limits, budgets, bills, cascades, versions, at-most-once and records; dispatch with a last check on the newest revision before each attempt; a relay that resumes cut streams and never passes a cut answer as whole; the HTTP API for callers.

--- a/guavagw-config/src/main/java/org/guavagw/config/PlainServiceConfig.java
+++ b/guavagw-config/src/main/java/org/guavagw/config/PlainServiceConfig.java
@@ -6,8 +6,10 @@
  * A service beside the model engines. Calls that no rule names may not be repeated. Immutable.
  *
  * @param backendServers ids of the backend servers that offer it
+ * @param microsPerCall price of a call in micro-units of currency
  */
-public record PlainServiceConfig(String id, List<String> backendServers, List<CallRule> calls) {
+public record PlainServiceConfig(
+    String id, List<String> backendServers, List<CallRule> calls, long microsPerCall) {
   public PlainServiceConfig {
     backendServers = List.copyOf(backendServers);
     calls = List.copyOf(calls);
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/http/CallerConnection.java
@@ -0,0 +1,60 @@
+package org.guavagw.internal.http;
+
+import io.jooby.Context;
+import io.jooby.Sender;
+import java.time.Duration;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Writes a streamed answer to a caller with bounded buffering.
+ *
+ * <p>Invariant: at most {@value #MAX_PENDING_WRITES} writes wait for the network. A caller that
+ * does not read for {@link #SLOW_CALLER_TIMEOUT} counts as gone. Writes come from one thread;
+ * completions come from the network's thread.
+ */
+final class CallerConnection {
+  private static final int MAX_PENDING_WRITES = 256;
+  private static final Duration SLOW_CALLER_TIMEOUT = Duration.ofSeconds(20);
+
+  private final Sender sender;
+  private final Semaphore pending = new Semaphore(MAX_PENDING_WRITES);
+  private volatile boolean gone;
+
+  CallerConnection(Context context) {
+    this.sender = context.responseSender();
+  }
+
+  boolean isGone() {
+    return gone;
+  }
+
+  void write(byte[] bytes) {
+    if (gone || !acquire()) {
+      gone = true;
+      return;
+    }
+    sender.write(bytes, (context, failure) -> onWritten(failure));
+  }
+
+  /** Ends the answer once everything has been written. */
+  void close() {
+    sender.close();
+  }
+
+  private void onWritten(Throwable failure) {
+    if (failure != null) {
+      gone = true;
+    }
+    pending.release();
+  }
+
+  private boolean acquire() {
+    try {
+      return pending.tryAcquire(SLOW_CALLER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/http/ServiceApi.java
@@ -0,0 +1,93 @@
+package org.guavagw.internal.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.guavagw.Refusal;
+import org.guavagw.internal.explain.DecisionTrace;
+import org.guavagw.internal.explain.RequestIds;
+import org.guavagw.internal.lifecycle.InFlight;
+import org.guavagw.internal.pipeline.Answered;
+import org.guavagw.internal.pipeline.Exchange;
+import org.guavagw.internal.pipeline.Pipeline;
+import org.guavagw.internal.pipeline.Work;
+import org.guavagw.internal.service.ServiceAnswer;
+import org.guavagw.internal.service.ServiceCall;
+import org.guavagw.internal.time.Clocks;
+
+/** The API in front of plain services: method, headers and body pass through. Thread-safe. */
+public final class ServiceApi {
+  private static final String PREFIX = "/services/";
+  private static final List<String> METHODS = List.of("GET", "POST", "PUT", "PATCH", "DELETE");
+
+  private final ObjectMapper json;
+  private final CallerRequests requests;
+  private final RequestIds ids;
+  private final Clocks clocks;
+  private final InFlight inFlight;
+  private final Pipeline pipeline;
+
+  /** Creates the API in front of a pipeline. */
+  public ServiceApi(
+      ObjectMapper json, RequestIds ids, Clocks clocks, InFlight inFlight, Pipeline pipeline) {
+    this.json = json;
+    this.requests = new CallerRequests(clocks.monotonic());
+    this.ids = ids;
+    this.clocks = clocks;
+    this.inFlight = inFlight;
+    this.pipeline = pipeline;
+  }
+
+  /** Adds the API's routes to an application. */
+  public void install(Jooby app) {
+    METHODS.forEach(m -> app.route(m, PREFIX + "{service}/*path", this::call));
+  }
+
+  private Object call(Context context) {
+    String requestId = ids.next();
+    if (!inFlight.tryEnter()) {
+      return Refusals.send(json, context, Refusals.shuttingDown(), requestId);
+    }
+    try {
+      return run(context, requestId);
+    } finally {
+      inFlight.leave();
+    }
+  }
+
+  private Object run(Context context, String requestId) {
+    Work work =
+        new Work.Service(
+            toCall(context), (id, server, answer) -> send(context, id, server, answer));
+    DecisionTrace trace = new DecisionTrace(requestId, clocks.wall().instant());
+    Either<Refusal, Answered> result =
+        pipeline.run(Exchange.arrived(requestId, work, requests.termsOf(context), trace));
+    return result.isLeft() ? Refusals.send(json, context, result.getLeft(), requestId) : context;
+  }
+
+  private static ServiceCall toCall(Context context) {
+    List<ServiceCall.Header> headers = new ArrayList<>();
+    for (Map.Entry<String, List<String>> header : context.header().toMultimap().entrySet()) {
+      header.getValue().forEach(v -> headers.add(new ServiceCall.Header(header.getKey(), v)));
+    }
+    String path = "/" + context.path("path").value("") + context.queryString();
+    return new ServiceCall(
+        context.path("service").value(),
+        context.getMethod(),
+        path,
+        headers,
+        context.body().bytes());
+  }
+
+  private static void send(Context context, String requestId, String server, ServiceAnswer answer) {
+    context.setResponseCode(answer.status());
+    answer.headers().forEach(h -> context.setResponseHeader(h.name(), h.value()));
+    context.setResponseHeader(Headers.REQUEST_ID, requestId);
+    context.setResponseHeader(Headers.BACKEND_SERVER, server);
+    context.send(answer.body());
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/http/StreamedAnswer.java
@@ -0,0 +1,80 @@
+package org.guavagw.internal.http;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jooby.Context;
+import java.nio.charset.StandardCharsets;
+import org.guavagw.Refusal;
+import org.guavagw.internal.chat.AnswerHead;
+import org.guavagw.internal.chat.AnswerSink;
+import org.guavagw.internal.engine.EngineChunk;
+import org.guavagw.internal.engine.Usage;
+
+/**
+ * Relays an answer to a caller as server-sent events. Confined to the request's thread.
+ *
+ * <p>Invariant: the end mark is written only behind a whole answer.
+ */
+final class StreamedAnswer implements AnswerSink {
+  private static final byte[] PREFIX = "data: ".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] SUFFIX = "\n\n".getBytes(StandardCharsets.US_ASCII);
+  private static final byte[] END = "data: [DONE]\n\n".getBytes(StandardCharsets.US_ASCII);
+
+  private final ObjectMapper json;
+  private final Context context;
+  private final boolean includeUsage;
+  private CallerConnection connection;
+
+  StreamedAnswer(ObjectMapper json, Context context, boolean includeUsage) {
+    this.json = json;
+    this.context = context;
+    this.includeUsage = includeUsage;
+  }
+
+  @Override
+  public void begin(AnswerHead head) {
+    AnswerHeaders.set(context, head);
+    context.setResponseType("text/event-stream");
+    context.setResponseHeader("Cache-Control", "no-cache");
+    connection = new CallerConnection(context);
+  }
+
+  @Override
+  public void write(EngineChunk chunk) {
+    if (chunk.end() || (chunk.isUsageOnly() && !includeUsage)) {
+      return;
+    }
+    connection.write(frame(chunk.data()));
+  }
+
+  @Override
+  public void end(Usage usage) {
+    connection.write(END);
+    connection.close();
+  }
+
+  @Override
+  public boolean hasBegun() {
+    return connection != null;
+  }
+
+  @Override
+  public boolean isCallerGone() {
+    return connection != null && connection.isGone();
+  }
+
+  /** Tells the caller that the answer ends here and is not whole. */
+  void fail(Refusal refusal, String requestId) {
+    ObjectNode body = ErrorBody.of(json, refusal, requestId);
+    connection.write(frame(body.toString().getBytes(StandardCharsets.UTF_8)));
+    connection.close();
+  }
+
+  private static byte[] frame(byte[] data) {
+    byte[] framed = new byte[PREFIX.length + data.length + SUFFIX.length];
+    System.arraycopy(PREFIX, 0, framed, 0, PREFIX.length);
+    System.arraycopy(data, 0, framed, PREFIX.length, data.length);
+    System.arraycopy(SUFFIX, 0, framed, PREFIX.length + data.length, SUFFIX.length);
+    return framed;
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/Target.java
@@ -0,0 +1,42 @@
+package org.guavagw.internal.pipeline;
+
+import org.guavagw.config.CascadeConfig;
+import org.guavagw.config.VersionRef;
+
+/** What a caller's model name turned out to mean. Immutable. */
+public sealed interface Target {
+  /** The name as the caller wrote it. */
+  String name();
+
+  /** A task class with a cascade of models. */
+  record Cascade(CascadeConfig config) implements Target {
+    @Override
+    public String name() {
+      return config.taskClass();
+    }
+  }
+
+  /** A model; the router chooses the version. */
+  record Model(String id) implements Target {
+    @Override
+    public String name() {
+      return id;
+    }
+  }
+
+  /** One version, chosen by the caller. */
+  record Version(VersionRef ref) implements Target {
+    @Override
+    public String name() {
+      return ref.toString();
+    }
+  }
+
+  /** A plain service. */
+  record Service(String id) implements Target {
+    @Override
+    public String name() {
+      return id;
+    }
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/rating/TimedAnswerRater.java
@@ -0,0 +1,106 @@
+package org.guavagw.internal.rating;
+
+import com.google.common.base.Ticker;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.OptionalDouble;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.guavagw.internal.cascade.RatingState;
+import org.guavagw.platform.AnswerSample;
+import org.guavagw.platform.PlatformFailure;
+import org.guavagw.platform.RatingService;
+
+/**
+ * Asks the platform's rating service within bounded time on threads of its own.
+ *
+ * <p>After {@value #FAILURES_TO_PAUSE} failures in a row it asks nothing for {@link #PAUSE}, so
+ * that callers do not wait for a service that is down. Thread-safe.
+ */
+public final class TimedAnswerRater implements AnswerRater, AutoCloseable {
+  private static final int FAILURES_TO_PAUSE = 3;
+  private static final Duration PAUSE = Duration.ofSeconds(5);
+  private static final int THREADS = 8;
+  private static final int MAX_WAITING = 256;
+  private static final long IDLE_SECONDS = 30;
+
+  private final RatingService service;
+  private final Ticker monotonic;
+  private final ExecutorService threads;
+  private final AtomicInteger failures = new AtomicInteger();
+  private final AtomicLong pausedUntilNanos;
+
+  /** Creates a rater in front of a rating service. */
+  public TimedAnswerRater(RatingService service, Ticker monotonic) {
+    this.service = service;
+    this.monotonic = monotonic;
+    this.pausedUntilNanos = new AtomicLong(monotonic.read());
+    ThreadPoolExecutor pool =
+        new ThreadPoolExecutor(
+            THREADS,
+            THREADS,
+            IDLE_SECONDS,
+            TimeUnit.SECONDS,
+            new ArrayBlockingQueue<>(MAX_WAITING),
+            new ThreadFactoryBuilder().setNameFormat("rating-%d").setDaemon(true).build());
+    pool.allowCoreThreadTimeOut(true);
+    this.threads = pool;
+  }
+
+  @Override
+  public OptionalDouble rate(AnswerSample sample, Duration patience) {
+    if (state() == RatingState.UNAVAILABLE) {
+      return OptionalDouble.empty();
+    }
+    try {
+      Future<Either<PlatformFailure, Double>> rating = threads.submit(() -> service.rate(sample));
+      return note(rating.get(Math.max(1, patience.toMillis()), TimeUnit.MILLISECONDS));
+    } catch (RejectedExecutionException | TimeoutException | ExecutionException e) {
+      return note(Either.left(PlatformFailure.unknown("no rating in time")));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return OptionalDouble.empty();
+    }
+  }
+
+  @Override
+  public void rateLater(AnswerSample sample, RatingListener listener) {
+    try {
+      threads.execute(() -> note(service.rate(sample)).ifPresent(r -> listener.rated(sample, r)));
+    } catch (RejectedExecutionException e) {
+      failures.incrementAndGet();
+    }
+  }
+
+  @Override
+  public RatingState state() {
+    boolean paused = pausedUntilNanos.get() - monotonic.read() > 0;
+    return paused ? RatingState.UNAVAILABLE : RatingState.AVAILABLE;
+  }
+
+  @Override
+  public void close() {
+    threads.shutdownNow();
+  }
+
+  private OptionalDouble note(Either<PlatformFailure, Double> rating) {
+    if (rating.isRight()) {
+      failures.set(0);
+      return OptionalDouble.of(rating.get());
+    }
+    if (failures.incrementAndGet() >= FAILURES_TO_PAUSE) {
+      failures.set(0);
+      pausedUntilNanos.set(monotonic.read() + PAUSE.toNanos());
+    }
+    return OptionalDouble.empty();
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/service/ServiceClient.java
@@ -0,0 +1,21 @@
+package org.guavagw.internal.service;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import org.guavagw.internal.engine.BackendAddress;
+import org.guavagw.internal.engine.EngineFailure;
+
+/** Calls plain services. Thread-safe; calls block. */
+public interface ServiceClient {
+  /**
+   * Makes one call and waits for the whole answer.
+   *
+   * @param repeatable whether a second execution does no harm, which allows pooled connections
+   */
+  Either<EngineFailure, ServiceAnswer> call(
+      BackendAddress address,
+      String requestId,
+      ServiceCall call,
+      boolean repeatable,
+      Duration timeLeft);
+}
