--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/AnswerText.java
@@ -0,0 +1,66 @@
+package org.guavagw.standins.engine;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.OptionalDouble;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The text of answers, which follows from request id and prompt alone, so that a reader can tell a
+ * whole answer to the own request from a cut or a crossed one. Stateless.
+ *
+ * <p>The first token carries the quality of the answer, as {@code [q=0.870]}; a checker ignores its
+ * value.
+ */
+public final class AnswerText {
+  private static final Pattern MARKER = Pattern.compile("\\[q=(\\d\\.\\d{3})\\] ");
+
+  private AnswerText() {}
+
+  /** Identifies the answer to a request; all tokens follow from it. */
+  public static long seed(String requestId, String prompt) {
+    return Hashing.murmur3_128()
+        .newHasher()
+        .putString(requestId, StandardCharsets.UTF_8)
+        .putByte((byte) 0)
+        .putString(prompt, StandardCharsets.UTF_8)
+        .hash()
+        .asLong();
+  }
+
+  /** A token of the answer; token 0 is the quality marker. */
+  public static String token(long seed, int index, double quality) {
+    if (index == 0) {
+      return String.format(Locale.ROOT, "[q=%.3f] ", quality);
+    }
+    long mixed = (seed + index) * 0x9E3779B97F4A7C15L;
+    return "w" + Long.toHexString((mixed ^ (mixed >>> 29)) & 0xffffff) + " ";
+  }
+
+  /** The whole answer. */
+  public static String whole(String requestId, String prompt, int tokens, double quality) {
+    long seed = seed(requestId, prompt);
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < tokens; i++) {
+      text.append(token(seed, i, quality));
+    }
+    return text.toString();
+  }
+
+  /** Whether a text is the whole answer to a request, of whatever quality. */
+  public static boolean isWhole(String requestId, String prompt, int tokens, String text) {
+    OptionalDouble quality = quality(text);
+    return quality.isPresent()
+        && whole(requestId, prompt, tokens, quality.getAsDouble()).equals(text);
+  }
+
+  /** The quality that an answer is marked with, if any. */
+  public static OptionalDouble quality(String text) {
+    Matcher m = MARKER.matcher(text);
+    return m.lookingAt()
+        ? OptionalDouble.of(Double.parseDouble(m.group(1)))
+        : OptionalDouble.empty();
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/ExecutionLog.java
@@ -0,0 +1,50 @@
+package org.guavagw.standins.engine;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+/**
+ * Everything that ran on one or several engines, in order of start. Append-only apart from the end
+ * of an execution. Thread-safe; listeners are called on the thread of the engine and must be quick.
+ */
+public final class ExecutionLog {
+  private final List<Execution> executions = new ArrayList<>();
+  private final List<Consumer<Execution>> listeners = new CopyOnWriteArrayList<>();
+
+  /** Has a listener told of each start and of each end. */
+  public void listen(Consumer<Execution> listener) {
+    listeners.add(listener);
+  }
+
+  /** All executions so far. */
+  public synchronized List<Execution> executions() {
+    return List.copyOf(executions);
+  }
+
+  /** Executions of one request. */
+  public List<Execution> of(String requestId) {
+    return executions().stream().filter(e -> e.requestId().equals(requestId)).toList();
+  }
+
+  int started(Execution execution) {
+    int index;
+    synchronized (this) {
+      index = executions.size();
+      executions.add(execution);
+    }
+    listeners.forEach(l -> l.accept(execution));
+    return index;
+  }
+
+  void ended(int index, Instant at, Outcome outcome) {
+    Execution ended;
+    synchronized (this) {
+      ended = executions.get(index).ended(at, outcome);
+      executions.set(index, ended);
+    }
+    listeners.forEach(l -> l.accept(ended));
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/FailedAnswer.java
@@ -0,0 +1,28 @@
+package org.guavagw.standins.engine;
+
+import io.jooby.Context;
+
+/** An error after a whole run that does not say whether the request ran. Stateless. */
+record FailedAnswer(Context ctx) implements AnswerWriter {
+  private static final int INTERNAL_ERROR = 500;
+
+  @Override
+  public void token(int index, String text) {
+    // Tokens are computed and lost.
+  }
+
+  @Override
+  public void finish(Usage usage) {
+    cut();
+  }
+
+  @Override
+  public void cut() {
+    Responses.json(ctx, INTERNAL_ERROR, ErrorBody.of("internal_error"));
+  }
+
+  @Override
+  public void refuse(EngineRefusal refusal) {
+    cut();
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
@@ -0,0 +1,280 @@
+package org.guavagw.standins.engine;
+
+import io.jooby.Context;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.guavagw.config.VersionRef;
+import org.guavagw.standins.http.NettyChannels;
+
+/**
+ * One request on its way through an engine: waiting, prefilling, writing tokens, ended. Confined to
+ * the event loop of its connection; {@link #started} and {@link #cancel} may be called from any
+ * thread.
+ */
+@SuppressWarnings("FutureReturnValueIgnored")
+final class Generation implements ContinuousBatch.Job {
+  private static final long KEEP_ALIVE_INTERVAL_MS = 500;
+
+  private final Engine engine;
+  private final GenerationRequest request;
+  private final Context ctx;
+  private final Channel channel;
+  private final EventLoop loop;
+  private AnswerWriter writer;
+  private long answerSeed;
+  private double quality;
+  private Optional<StreamFault> fault = Optional.empty();
+  private Future<?> keepAlive;
+  private int logIndex;
+  private int nextToken;
+  private boolean running;
+  private boolean ended;
+
+  Generation(Engine engine, GenerationRequest request, Context ctx) {
+    this.engine = engine;
+    this.request = request;
+    this.ctx = ctx;
+    this.channel = NettyChannels.of(ctx);
+    this.loop = channel.eventLoop();
+    this.nextToken = request.resumeOffset();
+    this.answerSeed = AnswerText.seed(request.requestId(), request.prompt());
+  }
+
+  @Override
+  public VersionRef version() {
+    return request.version();
+  }
+
+  @Override
+  public int priority() {
+    return request.priority();
+  }
+
+  /** Admits the request or refuses it; on the event loop. */
+  Context submit() {
+    Optional<EngineRefusal> refusal = admit();
+    showState();
+    if (refusal.isPresent()) {
+      return Responses.refuse(ctx, refusal.get());
+    }
+    fault = engine.faults().take();
+    writer = newWriter();
+    writer.open();
+    channel.closeFuture().addListener(f -> onConnectionClosed());
+    keepAlive =
+        loop.scheduleAtFixedRate(
+            this::keepAlive, KEEP_ALIVE_INTERVAL_MS, KEEP_ALIVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    request.deadline().ifPresent(d -> schedule(this::onDeadline, d));
+    return ctx;
+  }
+
+  @Override
+  public void started(ContinuousBatch.Start start) {
+    loop.execute(() -> begin(start));
+  }
+
+  /** Ends the request wherever it is; harmless when it has ended. */
+  void cancel() {
+    loop.execute(this::stop);
+  }
+
+  private Optional<EngineRefusal> admit() {
+    if (engine.faults().refusing()) {
+      return Optional.of(EngineRefusal.UNAVAILABLE);
+    }
+    if (request.resumeOffset() > 0 && !engine.requests().canResume(request.requestId())) {
+      return Optional.of(EngineRefusal.RESUME_UNKNOWN);
+    }
+    Optional<EngineRefusal> refusal = engine.batch().admit(this);
+    if (refusal.isEmpty()) {
+      engine.requests().begin(request.requestId(), this).ifPresent(Generation::cancel);
+    }
+    return refusal;
+  }
+
+  private void showState() {
+    LoadReport load = engine.batch().current();
+    ctx.setResponseHeader("X-Request-Id", request.requestId());
+    ctx.setResponseHeader("X-Boot-Id", load.bootId());
+    ctx.setResponseHeader("X-Engine-State", load.state());
+    ctx.setResponseHeader("X-Load", load.header());
+  }
+
+  private AnswerWriter newWriter() {
+    if (engine.faults().failing()) {
+      return new FailedAnswer(ctx);
+    }
+    String id = answeredId();
+    String model = request.version().toString();
+    if (request.stream()) {
+      return new StreamedAnswer(ctx, id, model, request.includeUsage());
+    }
+    return new WholeAnswer(ctx, id, model);
+  }
+
+  private String answeredId() {
+    String other = engine.requests().exchangeNewest(request.requestId());
+    if (!has(StreamFault.Kind.CROSSED)) {
+      return request.requestId();
+    }
+    answerSeed = AnswerText.seed(other, request.prompt());
+    return other;
+  }
+
+  private void begin(ContinuousBatch.Start start) {
+    running = true;
+    if (ended) {
+      release(false);
+      return;
+    }
+    logIndex = engine.log().started(execution(start));
+    quality =
+        engine.faults().quality(engine.quality().quality(request.version(), request.prompt()));
+    int missing = engine.cache().store(Prompts.blockHashes(request.prompt()));
+    Duration prefill = engine.settings().batch().prefillPerBlock().multipliedBy(missing);
+    schedule(this::produce, engine.faults().stretch(prefill).plus(engine.faults().delay()));
+  }
+
+  private void produce() {
+    Duration pace = Duration.ZERO;
+    while (!ended && pace.isZero()) {
+      step();
+      pace = pace();
+    }
+    if (ended) {
+      return;
+    }
+    writer.flush();
+    schedule(this::produce, pace);
+  }
+
+  private void step() {
+    muteIfSilent();
+    if (fault.isPresent() && nextToken - request.resumeOffset() >= fault.get().afterChunks()) {
+      strike(fault.get().kind());
+    }
+    if (ended) {
+      return;
+    }
+    if (nextToken >= request.maxTokens()) {
+      finish();
+      return;
+    }
+    writer.token(nextToken, AnswerText.token(answerSeed, nextToken, quality));
+    nextToken++;
+  }
+
+  private void strike(StreamFault.Kind kind) {
+    writer.flush();
+    fault = Optional.empty();
+    switch (kind) {
+      case RESET -> {
+        end(Outcome.FAILED);
+        NettyChannels.reset(channel);
+      }
+      case HALF_ANSWER -> {
+        end(Outcome.FAILED);
+        writer.cut();
+      }
+      case SILENCE -> engine.connections().silence(channel);
+      default -> muteIfSilent();
+    }
+    muteIfSilent();
+  }
+
+  private void finish() {
+    writer.finish(Usage.of(request.promptTokens(), nextToken));
+    end(Outcome.FINISHED);
+  }
+
+  private void stop() {
+    if (ended) {
+      return;
+    }
+    muteIfSilent();
+    end(Outcome.CANCELLED);
+    writer.cut();
+  }
+
+  private void onConnectionClosed() {
+    if (ended || engine.connections().isSilent(channel)) {
+      return;
+    }
+    writer = SilentAnswer.INSTANCE;
+    engine.batch().countDisconnect();
+    stop();
+  }
+
+  private void onDeadline() {
+    if (running || ended || !engine.batch().withdraw(this)) {
+      return;
+    }
+    muteIfSilent();
+    end(Outcome.CANCELLED);
+    writer.refuse(EngineRefusal.DEADLINE_PASSED);
+  }
+
+  private void keepAlive() {
+    muteIfSilent();
+    writer.keepAlive();
+  }
+
+  private void end(Outcome outcome) {
+    ended = true;
+    keepAlive.cancel(false);
+    engine.requests().end(request.requestId(), this);
+    if (running) {
+      engine.log().ended(logIndex, Instant.now(), outcome);
+      release(outcome == Outcome.FINISHED);
+      return;
+    }
+    engine.batch().withdraw(this);
+  }
+
+  private void release(boolean finished) {
+    engine.batch().release(finished);
+  }
+
+  private void muteIfSilent() {
+    if (engine.connections().isSilent(channel)) {
+      writer = SilentAnswer.INSTANCE;
+    }
+  }
+
+  private boolean has(StreamFault.Kind kind) {
+    return fault.filter(f -> f.kind() == kind).isPresent();
+  }
+
+  private Duration pace() {
+    return engine
+        .faults()
+        .stretch(engine.settings().batch().timePerToken(engine.batch().running()));
+  }
+
+  private void schedule(Runnable task, Duration after) {
+    if (after.isZero()) {
+      task.run();
+      return;
+    }
+    loop.schedule(task, after.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private Execution execution(ContinuousBatch.Start start) {
+    return new Execution(
+        engine.settings().name(),
+        request.requestId(),
+        request.idempotencyKey(),
+        request.version(),
+        request.resumeOffset(),
+        Instant.now(),
+        Optional.empty(),
+        Outcome.RUNNING,
+        start.cold(),
+        start.concurrency());
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/LoadReport.java
@@ -0,0 +1,18 @@
+package org.guavagw.standins.engine;
+
+import java.util.List;
+
+/** State of an engine as it reports it. Immutable. */
+record LoadReport(
+    String bootId,
+    String state,
+    int running,
+    int waiting,
+    int slots,
+    List<String> versions,
+    List<String> adapters,
+    String role) {
+  String header() {
+    return running + "/" + waiting + "/" + slots;
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/SilentAnswer.java
@@ -0,0 +1,26 @@
+package org.guavagw.standins.engine;
+
+/** An answer that never reaches its connection. Stateless. */
+enum SilentAnswer implements AnswerWriter {
+  INSTANCE;
+
+  @Override
+  public void token(int index, String text) {
+    // Nothing is written.
+  }
+
+  @Override
+  public void finish(Usage usage) {
+    // Nothing is written.
+  }
+
+  @Override
+  public void cut() {
+    // Nothing is written.
+  }
+
+  @Override
+  public void refuse(EngineRefusal refusal) {
+    // Nothing is written.
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/StreamedAnswer.java
@@ -0,0 +1,83 @@
+package org.guavagw.standins.engine;
+
+import io.jooby.Context;
+import io.jooby.Sender;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+
+/** An answer as server-sent events, one chunk per token. Confined to one event loop. */
+final class StreamedAnswer implements AnswerWriter {
+  private static final Sender.Callback IGNORE_RESULT = (ctx, cause) -> {};
+
+  private final Context ctx;
+  private final String id;
+  private final String model;
+  private final boolean includeUsage;
+  private final long created = Instant.now().getEpochSecond();
+  private final StringBuilder pending = new StringBuilder();
+  private Sender sender;
+  private int lastId;
+
+  StreamedAnswer(Context ctx, String id, String model, boolean includeUsage) {
+    this.ctx = ctx;
+    this.id = id;
+    this.model = model;
+    this.includeUsage = includeUsage;
+  }
+
+  @Override
+  public void open() {
+    ctx.setResponseType("text/event-stream");
+    ctx.setResponseHeader("Cache-Control", "no-cache");
+    sender = ctx.responseSender();
+    keepAlive();
+  }
+
+  @Override
+  public void keepAlive() {
+    pending.append(": keepalive\n\n");
+    flush();
+  }
+
+  @Override
+  public void token(int index, String text) {
+    event(index + 1, ChatCompletion.chunk(id, created, model, index == 0, text));
+  }
+
+  @Override
+  public void flush() {
+    if (pending.isEmpty()) {
+      return;
+    }
+    sender.write(pending.toString().getBytes(StandardCharsets.UTF_8), IGNORE_RESULT);
+    pending.setLength(0);
+  }
+
+  @Override
+  public void finish(Usage usage) {
+    event(lastId + 1, ChatCompletion.lastChunk(id, created, model));
+    if (includeUsage) {
+      event(lastId + 1, ChatCompletion.usageChunk(id, created, model, usage));
+    }
+    pending.append("data: [DONE]\n\n");
+    cut();
+  }
+
+  @Override
+  public void cut() {
+    flush();
+    sender.close();
+  }
+
+  @Override
+  public void refuse(EngineRefusal refusal) {
+    pending.append("data: ").append(Responses.text(ErrorBody.of(refusal.code()))).append("\n\n");
+    cut();
+  }
+
+  private void event(int eventId, ChatCompletion chunk) {
+    lastId = eventId;
+    pending.append("id: ").append(eventId).append('\n');
+    pending.append("data: ").append(Responses.text(chunk)).append("\n\n");
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/WholeAnswer.java
@@ -0,0 +1,39 @@
+package org.guavagw.standins.engine;
+
+import io.jooby.Context;
+import java.time.Instant;
+
+/** An answer as one JSON document. Confined to one event loop. */
+final class WholeAnswer implements AnswerWriter {
+  private final Context ctx;
+  private final String id;
+  private final String model;
+  private final StringBuilder text = new StringBuilder();
+
+  WholeAnswer(Context ctx, String id, String model) {
+    this.ctx = ctx;
+    this.id = id;
+    this.model = model;
+  }
+
+  @Override
+  public void token(int index, String token) {
+    text.append(token);
+  }
+
+  @Override
+  public void finish(Usage usage) {
+    long created = Instant.now().getEpochSecond();
+    Responses.json(ctx, 200, ChatCompletion.whole(id, created, model, text.toString(), usage));
+  }
+
+  @Override
+  public void cut() {
+    Responses.json(ctx, 500, ErrorBody.of("cancelled"));
+  }
+
+  @Override
+  public void refuse(EngineRefusal refusal) {
+    Responses.refuse(ctx, refusal);
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP plumbing that the stand-ins share. */
+package org.guavagw.standins.http;
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/table/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform's table service. */
+package org.guavagw.standins.table;
