--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/AttemptJournal.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/AttemptJournal.java
@@ -93,7 +93,7 @@
   private void addSpend(String backendServer, RelayReport report) {
     boolean delivered =
         report.result() instanceof AttemptResult.Whole
-            || report.result() instanceof AttemptResult.Failed failed && failed.begun();
+            || (report.result() instanceof AttemptResult.Failed failed && failed.begun());
     if (!delivered) {
       return;
     }
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
@@ -0,0 +1,128 @@
+package org.guavagw.internal.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.guavagw.EntrySettings;
+import org.guavagw.internal.cascade.CascadePlanner;
+import org.guavagw.internal.cascade.CostEstimator;
+import org.guavagw.internal.config.ConfigSource;
+import org.guavagw.internal.dispatch.BackendIndexHolder;
+import org.guavagw.internal.dispatch.ChatDispatchFilter;
+import org.guavagw.internal.dispatch.DispatchGuard;
+import org.guavagw.internal.dispatch.DispatchParts;
+import org.guavagw.internal.dispatch.ServiceDispatchFilter;
+import org.guavagw.internal.engine.ConnectionPools;
+import org.guavagw.internal.engine.HttpEngineClient;
+import org.guavagw.internal.lifecycle.Closer;
+import org.guavagw.internal.limits.RetryBudget;
+import org.guavagw.internal.limits.TeamLimiter;
+import org.guavagw.internal.permit.PermitService;
+import org.guavagw.internal.pipeline.AuthenticateFilter;
+import org.guavagw.internal.pipeline.BillFilter;
+import org.guavagw.internal.pipeline.BudgetFilter;
+import org.guavagw.internal.pipeline.CascadeFilter;
+import org.guavagw.internal.pipeline.OnceFilter;
+import org.guavagw.internal.pipeline.Pipeline;
+import org.guavagw.internal.pipeline.RecordFilter;
+import org.guavagw.internal.pipeline.ResolveModelFilter;
+import org.guavagw.internal.pipeline.ResolveServiceFilter;
+import org.guavagw.internal.pipeline.TeamLimitFilter;
+import org.guavagw.internal.pipeline.VersionFilter;
+import org.guavagw.internal.placement.BackendViews;
+import org.guavagw.internal.placement.SampledPlacement;
+import org.guavagw.internal.quality.QualityModel;
+import org.guavagw.internal.rating.TimedAnswerRater;
+import org.guavagw.internal.rollout.VersionChooser;
+import org.guavagw.internal.rollout.VersionOutcome;
+import org.guavagw.internal.service.HttpServiceClient;
+import org.guavagw.internal.session.SessionPins;
+import org.guavagw.internal.time.Clocks;
+import org.guavagw.platform.Platform;
+
+/** The two pipelines of an entry and what they decide by. Immutable. */
+record TrafficParts(
+    Pipeline chat,
+    Pipeline service,
+    AuthenticateFilter authenticate,
+    BackendViews views,
+    QualityModel quality) {
+
+  /** Joins the filters. */
+  static TrafficParts create(
+      EntrySettings settings,
+      Platform platform,
+      ConfigSource configs,
+      DurableParts durable,
+      Collaborators others,
+      ObjectMapper json,
+      Clocks clocks,
+      Closer closer) {
+    ConnectionPools pools = closer.register(new ConnectionPools(settings.silenceTimeout()));
+    BackendViews views = new BackendViews(clocks.monotonic());
+    QualityModel quality = new QualityModel();
+    TimedAnswerRater rater =
+        closer.register(new TimedAnswerRater(platform.ratings(), clocks.monotonic()));
+    DispatchParts dispatch =
+        new DispatchParts(
+            json,
+            new DispatchGuard(configs),
+            new BackendIndexHolder(configs, clocks.monotonic()),
+            views,
+            new SampledPlacement(views, ThreadLocalRandom::current),
+            others.permits(),
+            new RetryBudget(),
+            new HttpEngineClient(pools),
+            others.outcomes(),
+            clocks,
+            settings.dataCentre());
+    AuthenticateFilter authenticate = new AuthenticateFilter(configs);
+    RecordFilter record = new RecordFilter(durable.decisions(), others.metrics(), clocks);
+    TeamLimitFilter teamLimit = new TeamLimitFilter(new TeamLimiter());
+    BudgetFilter budget = new BudgetFilter(configs, durable.budgets());
+    BillFilter bill = new BillFilter(configs, durable.bills(), clocks);
+    VersionFilter version = new VersionFilter(configs, new VersionChooser(), others.pins());
+    CascadeFilter cascade =
+        new CascadeFilter(
+            json,
+            configs,
+            version,
+            new CascadePlanner(quality),
+            new CostEstimator(),
+            rater,
+            clocks);
+    Pipeline chat =
+        new Pipeline(
+            List.of(
+                record,
+                authenticate,
+                new ResolveModelFilter(configs),
+                teamLimit,
+                budget,
+                bill,
+                cascade,
+                version,
+                new ChatDispatchFilter(dispatch)));
+    Pipeline service =
+        new Pipeline(
+            List.of(
+                record,
+                authenticate,
+                new ResolveServiceFilter(configs),
+                teamLimit,
+                new OnceFilter(configs, durable.once()),
+                budget,
+                bill,
+                new ServiceDispatchFilter(dispatch, new HttpServiceClient(pools))));
+    return new TrafficParts(chat, service, authenticate, views, quality);
+  }
+
+  /** What traffic needs from other parts of the entry; immutable. */
+  record Collaborators(
+      MetricRegistry metrics,
+      PermitService permits,
+      SessionPins pins,
+      Consumer<VersionOutcome> outcomes) {}
+}
