--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
@@ -1,6 +1,7 @@
 package org.guavagw.internal.entry;
 
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.function.IntSupplier;
 import org.guavagw.EntrySettings;
 import org.guavagw.config.BudgetConfig;
@@ -49,7 +50,8 @@
                 platform.objects(),
                 clocks.wall(),
                 DecisionLogSettings.standard()));
-    decisions.flushOn(background);
+    ScheduledFuture<?> flushing = decisions.flushOn(background);
+    closer.register(() -> flushing.cancel(false));
     TableLeaseService leases =
         closer.register(
             new TableLeaseService(
@@ -57,7 +59,8 @@
                 new LeaseHolder(settings.entryId(), incarnation),
                 LeaseTerms.standard(),
                 clocks.monotonic()));
-    leases.renewOn(background);
+    ScheduledFuture<?> renewing = leases.renewOn(background);
+    closer.register(() -> renewing.cancel(false));
     BudgetGate budgets =
         closer.register(
             new SlicedBudgetGate(
