--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/BenchTable.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/BenchTable.java
@@ -29,10 +29,11 @@
   private static String row(SeededSummary.SummarisedTarget t) {
     return String.format(
         Locale.ROOT,
-        "target %s: bound %.4g, median %.4g, worst %.4g, met on %d of %d seeds",
+        "target %s: bound %.4g, median %.4g, mean %.4g, worst %.4g, met on %d of %d seeds",
         t.target(),
         t.bound(),
         t.median(),
+        t.mean(),
         t.worst(),
         t.seedsMet(),
         t.seeds());
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/SeededSummary.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/SeededSummary.java
@@ -1,6 +1,7 @@
 package org.guavagw.cli.bench;
 
 import com.google.common.math.Quantiles;
+import com.google.common.math.Stats;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,7 +18,13 @@
 
   /** One target over all seeds. Immutable. */
   record SummarisedTarget(
-      String target, double bound, double median, double worst, int seedsMet, int seeds) {}
+      String target,
+      double bound,
+      double median,
+      double mean,
+      double worst,
+      int seedsMet,
+      int seeds) {}
 
   static SeededSummary of(List<ScenarioReport> reports) {
     ScenarioReport first = reports.get(0);
@@ -62,6 +69,7 @@
         first.target(),
         first.bound(),
         Quantiles.median().compute(measured),
+        Stats.meanOf(measured),
         worst,
         met,
         results.size());
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/BadVersionInRollout.java
@@ -0,0 +1,130 @@
+package org.guavagw.cli.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import org.guavagw.cli.bench.Deployment;
+import org.guavagw.cli.bench.Figure;
+import org.guavagw.cli.bench.PlotSeries;
+import org.guavagw.cli.bench.PolicyResult;
+import org.guavagw.cli.bench.Scenario;
+import org.guavagw.cli.bench.ScenarioReport;
+import org.guavagw.cli.bench.TargetResult;
+import org.guavagw.config.VersionRef;
+
+/**
+ * Rollouts of bad versions, one for each kind of fault, and of versions that are as good as the old
+ * one. Stateless and thread-safe.
+ */
+public final class BadVersionInRollout implements Scenario {
+  private static final double MAX_SHARE_OF_FIXED_SCHEDULE = 0.2;
+  private static final double MAX_FALSE_HOLDS = 0.01;
+  private static final int GOOD_ROLLOUTS = 25;
+  private static final double BAD_RUN_SECONDS = 4_500;
+  private static final double GOOD_RUN_SECONDS = 4 * 3_600;
+  private static final long GOOD_SEED_STRIDE = 1_000_003;
+
+  @Override
+  public String name() {
+    return "bad-version-in-rollout";
+  }
+
+  @Override
+  public ScenarioReport run(Deployment deployment, long seed) {
+    Workload workload = Workload.of(deployment);
+    List<Outcome> outcomes =
+        List.of(
+            run(workload, seed, "sequential-test", SequentialPolicy::new),
+            run(workload, seed, "fixed-schedule", d -> new FixedSchedulePolicy(d, false)),
+            run(workload, seed, "fixed-schedule-checked", d -> new FixedSchedulePolicy(d, true)));
+    Outcome ours = outcomes.get(0);
+    Outcome fixed = outcomes.get(1);
+    return new ScenarioReport(
+        name(),
+        outcomes.stream().map(Outcome::result).toList(),
+        outcomes.stream().map(Outcome::series).toList(),
+        List.of(
+            TargetResult.atMost(
+                "bad-answers-over-fixed-schedule",
+                MAX_SHARE_OF_FIXED_SCHEDULE,
+                ours.badAnswers / Math.max(1, fixed.badAnswers)),
+            TargetResult.atMost(
+                "false-holds-per-good-rollout", MAX_FALSE_HOLDS, ours.falseStops / GOOD_ROLLOUTS)));
+  }
+
+  private static Outcome run(
+      Workload workload, long seed, String policy, Function<ControlDesk, RolloutPolicy> newPolicy) {
+    Outcome outcome = new Outcome(policy);
+    List<BenchRequest> requests = RequestStream.generate(workload, BAD_RUN_SECONDS, seed);
+    VersionRef fresh = RolloutSetup.version(workload, RolloutSetup.NEW);
+    for (FaultKind kind : FaultKind.values()) {
+      VersionFault fault = kind.of(workload, fresh, 0);
+      outcome.addBad(kind, run(workload, requests, List.of(fault), seed, newPolicy));
+    }
+    for (int i = 1; i <= GOOD_ROLLOUTS; i++) {
+      long goodSeed = seed + i * GOOD_SEED_STRIDE;
+      List<BenchRequest> other = RequestStream.generate(workload, GOOD_RUN_SECONDS, goodSeed);
+      outcome.addGood(run(workload, other, List.of(), goodSeed, newPolicy));
+    }
+    return outcome;
+  }
+
+  private static RolloutTrace run(
+      Workload workload,
+      List<BenchRequest> requests,
+      List<VersionFault> faults,
+      long seed,
+      Function<ControlDesk, RolloutPolicy> newPolicy) {
+    ControlDesk desk = new ControlDesk(RolloutSetup.rollingOut(workload));
+    AnswerWorld world = new AnswerWorld(workload, RatingSupply.SAMPLED, faults, seed);
+    VersionRef fresh = RolloutSetup.version(workload, RolloutSetup.NEW);
+    return new RolloutRun(desk, newPolicy.apply(desk), world, fresh).run(requests);
+  }
+
+  /** Sums over the rollouts of one policy. Not thread-safe. */
+  private static final class Outcome {
+    private final String policy;
+    private final List<Figure> byKind = new ArrayList<>();
+    private final List<double[]> badOverTime = new ArrayList<>();
+    private double badAnswers;
+    private double missed;
+    private double falseStops;
+    private double goodFinished;
+    private double goodSeconds;
+
+    Outcome(String policy) {
+      this.policy = policy;
+    }
+
+    void addBad(FaultKind kind, RolloutTrace trace) {
+      badAnswers += trace.badFromWatched();
+      missed += trace.isStopped() ? 0 : 1;
+      byKind.add(new Figure("bad-" + kind.label(), trace.badFromWatched(), ""));
+      byKind.add(new Figure("stop-" + kind.label(), trace.stoppedAt(), "s"));
+      if (kind == FaultKind.WORSE_EVERYWHERE) {
+        badOverTime.addAll(trace.badOverTime());
+      }
+    }
+
+    void addGood(RolloutTrace trace) {
+      falseStops += trace.isStopped() ? 1 : 0;
+      goodFinished += trace.isFinished() ? 1 : 0;
+      goodSeconds += trace.isFinished() ? trace.finishedAt() : GOOD_RUN_SECONDS;
+    }
+
+    PolicyResult result() {
+      List<Figure> figures = new ArrayList<>();
+      figures.add(new Figure("bad-answers", badAnswers, ""));
+      figures.add(new Figure("bad-versions-missed", missed, ""));
+      figures.add(new Figure("false-holds", falseStops, ""));
+      figures.add(new Figure("good-finished", goodFinished / GOOD_ROLLOUTS, ""));
+      figures.add(new Figure("good-duration", goodSeconds / GOOD_ROLLOUTS, "s"));
+      figures.addAll(byKind);
+      return new PolicyResult(policy, figures);
+    }
+
+    PlotSeries series() {
+      return SeriesOf.points(policy, "bad answers from the new version", badOverTime);
+    }
+  }
+}
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/ControlDesk.java
@@ -0,0 +1,90 @@
+package org.guavagw.cli.bench.policy;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.guavagw.config.GatewayConfig;
+import org.guavagw.internal.config.ConfigHolder;
+import org.guavagw.internal.config.RevisionedConfig;
+import org.guavagw.internal.lease.Lease;
+import org.guavagw.internal.lease.LeaseFailure;
+import org.guavagw.internal.lease.LeaseService;
+import org.guavagw.internal.rollout.ActFailure;
+import org.guavagw.internal.rollout.ActTransformer;
+import org.guavagw.internal.rollout.RolloutAct;
+import org.guavagw.internal.rollout.RolloutActs;
+
+/**
+ * Holds the configuration of a run and carries out acts on it at once. Acts need the newest
+ * revision. Not thread-safe.
+ */
+final class ControlDesk implements RolloutActs, LeaseService {
+  private final ConfigHolder holder = new ConfigHolder();
+  private final List<RolloutAct> done = new ArrayList<>();
+
+  ControlDesk(GatewayConfig config) {
+    holder.adopt(new RevisionedConfig(1, config));
+  }
+
+  ConfigHolder holder() {
+    return holder;
+  }
+
+  GatewayConfig config() {
+    return holder.current().config();
+  }
+
+  List<RolloutAct> done() {
+    return done;
+  }
+
+  void apply(RolloutAct act) {
+    apply(act, holder.current().revision(), 1);
+  }
+
+  @Override
+  public Either<ActFailure, Long> apply(RolloutAct act, long expectedRevision, long fencingNumber) {
+    RevisionedConfig now = holder.current();
+    if (now.revision() != expectedRevision) {
+      return Either.left(new ActFailure.RevisionMoved(now.revision()));
+    }
+    done.add(act);
+    long next = expectedRevision + 1;
+    holder.adopt(new RevisionedConfig(next, ActTransformer.apply(now.config(), act)));
+    return Either.right(next);
+  }
+
+  @Override
+  public Either<LeaseFailure, Lease> acquire(String name) {
+    return Either.right(new LastingLease(name));
+  }
+
+  @Override
+  public Optional<Lease> held(String name) {
+    return Optional.of(new LastingLease(name));
+  }
+
+  @Override
+  public void release(String name) {
+    // The lease lasts as long as the run.
+  }
+
+  @Override
+  public void close() {
+    // Nothing is held outside the run.
+  }
+
+  /** A lease that never lapses. Immutable. */
+  private record LastingLease(String name) implements Lease {
+    @Override
+    public long fencingNumber() {
+      return 1;
+    }
+
+    @Override
+    public boolean isSafe() {
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/FixedSchedulePolicy.java
@@ -0,0 +1,68 @@
+package org.guavagw.cli.bench.policy;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.guavagw.config.RolloutConfig;
+import org.guavagw.config.RolloutState;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.rollout.RolloutAct;
+import org.guavagw.internal.rollout.VersionOutcome;
+
+/**
+ * Enters a stage whenever its time has come. Someone compares mean ratings at the end of the
+ * schedule, or at the end of each stage where that is asked for, and withdraws a worse version. Not
+ * thread-safe.
+ */
+final class FixedSchedulePolicy implements RolloutPolicy {
+  static final double STAGE_SECONDS = 900;
+
+  private static final double WORSE_BY = 0.05;
+
+  private final ControlDesk desk;
+  private final boolean checksEachStage;
+  private final Map<VersionRef, double[]> ratings = new HashMap<>();
+
+  FixedSchedulePolicy(ControlDesk desk, boolean checksEachStage) {
+    this.desk = desk;
+    this.checksEachStage = checksEachStage;
+  }
+
+  @Override
+  public void observe(int entry, VersionOutcome outcome) {
+    double[] sums = ratings.computeIfAbsent(outcome.version(), v -> new double[2]);
+    if (outcome.failed() || outcome.rating().isPresent()) {
+      sums[0]++;
+      sums[1] += outcome.rating().orElse(0);
+    }
+  }
+
+  @Override
+  public void pass(double nowSeconds) {
+    RolloutConfig rollout = desk.config().rollouts().get(0);
+    if (rollout.state() != RolloutState.RUNNING
+        || nowSeconds < STAGE_SECONDS * (rollout.stage() + 1)) {
+      return;
+    }
+    boolean last = rollout.stage() + 1 == rollout.stagesPercent().size();
+    if ((last || checksEachStage) && isWorse(rollout)) {
+      desk.apply(new RolloutAct.Abort(rollout.id(), Optional.empty()));
+      return;
+    }
+    desk.apply(
+        last
+            ? new RolloutAct.Finish(rollout.id())
+            : new RolloutAct.EnterStage(rollout.id(), rollout.stage() + 1));
+  }
+
+  private boolean isWorse(RolloutConfig rollout) {
+    double fresh = mean(new VersionRef(rollout.model(), rollout.toVersion()));
+    double old = mean(new VersionRef(rollout.model(), rollout.fromVersion()));
+    return fresh < old - WORSE_BY;
+  }
+
+  private double mean(VersionRef version) {
+    double[] sums = ratings.getOrDefault(version, new double[2]);
+    return sums[0] > 0 ? sums[1] / sums[0] : 1;
+  }
+}
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/PolicyScenarios.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/PolicyScenarios.java
@@ -9,6 +9,6 @@
 
   /** All of them, in the order in which they run. */
   public static List<Scenario> all() {
-    return List.of();
+    return List.of(new BadVersionInRollout(), new VersionGoneBad());
   }
 }
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/RolloutTrace.java
@@ -0,0 +1,69 @@
+package org.guavagw.cli.bench.policy;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.guavagw.internal.rollout.RolloutAct;
+
+/** What happened in a run with a watched version. Not thread-safe. */
+final class RolloutTrace {
+  private final List<double[]> badOverTime = new ArrayList<>();
+  private int requestsOnWatched;
+  private int badFromWatched;
+  private double stoppedAt = Double.NaN;
+  private double finishedAt = Double.NaN;
+  private String stoppedBy = "";
+
+  void served(BenchRequest request, boolean onWatched, FakeAnswer answer) {
+    if (!onWatched) {
+      return;
+    }
+    requestsOnWatched++;
+    if (answer.isBad()) {
+      badFromWatched++;
+      badOverTime.add(new double[] {request.atSeconds(), badFromWatched});
+    }
+  }
+
+  void acted(double atSeconds, RolloutAct act) {
+    boolean stops = !(act instanceof RolloutAct.EnterStage || act instanceof RolloutAct.Finish);
+    if (stops && Double.isNaN(stoppedAt)) {
+      stoppedAt = atSeconds;
+      stoppedBy = act.toString();
+    }
+    if (act instanceof RolloutAct.Finish) {
+      finishedAt = atSeconds;
+    }
+  }
+
+  int requestsOnWatched() {
+    return requestsOnWatched;
+  }
+
+  int badFromWatched() {
+    return badFromWatched;
+  }
+
+  boolean isStopped() {
+    return !Double.isNaN(stoppedAt);
+  }
+
+  boolean isFinished() {
+    return !Double.isNaN(finishedAt);
+  }
+
+  double stoppedAt() {
+    return stoppedAt;
+  }
+
+  double finishedAt() {
+    return finishedAt;
+  }
+
+  String stoppedBy() {
+    return stoppedBy;
+  }
+
+  List<double[]> badOverTime() {
+    return badOverTime;
+  }
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/rollout/EvidenceReport.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/rollout/EvidenceReport.java
@@ -3,9 +3,12 @@
 import java.util.List;
 
 /**
- * What one entry has seen since its previous report. Immutable.
+ * What one entry has seen since it started. Sums are cumulative, so a lost or repeated report does
+ * no harm. Immutable.
  *
- * @param sequence rises by one with each report of the entry; a repeated report is ignored
+ * @param entry the entry and its start, so that a restarted entry is another reporter
+ * @param sequence rises with each report of the entry
+ * @param evidence rows that changed since the previous report
  */
 public record EvidenceReport(String entry, long sequence, List<VersionEvidence> evidence) {
   public EvidenceReport {
--- a/guavagw-core/src/main/java/org/guavagw/internal/rollout/RolloutAct.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/rollout/RolloutAct.java
@@ -1,5 +1,6 @@
 package org.guavagw.internal.rollout;
 
+import java.util.Optional;
 import org.guavagw.config.VersionRef;
 
 /** A change of the configuration that a rollout controller asks for. Immutable. */
@@ -10,11 +11,8 @@
   /** Stay at the present stage until an operator decides. */
   record Hold(String rolloutId, Finding finding) implements RolloutAct {}
 
-  /** Take up a held rollout. */
-  record Resume(String rolloutId) implements RolloutAct {}
-
-  /** End the rollout and withdraw its new version. */
-  record Abort(String rolloutId, Finding finding) implements RolloutAct {}
+  /** End the rollout and withdraw its new version; without finding if it is withdrawn already. */
+  record Abort(String rolloutId, Optional<Finding> finding) implements RolloutAct {}
 
   /** End the rollout because every session is on the new version. */
   record Finish(String rolloutId) implements RolloutAct {}
--- a/guavagw-core/src/main/java/org/guavagw/internal/rollout/Signal.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/rollout/Signal.java
@@ -12,7 +12,7 @@
     return switch (this) {
       case RATING -> evidence.ratings();
       case POOR_ANSWERS -> evidence.poor();
-      case ERRORS -> evidence.failures();
+      case ERRORS -> evidence.errors();
       case LATENCY -> evidence.slow();
     };
   }
--- a/guavagw-core/src/main/java/org/guavagw/internal/rollout/Tally.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/rollout/Tally.java
@@ -23,4 +23,19 @@
   public double rate(double fallback) {
     return trials > 0 ? bad / trials : fallback;
   }
+
+  /** Trials at another weight. */
+  public Tally scaled(double factor) {
+    return new Tally(trials * factor, bad * factor);
+  }
+
+  /** The same trials with good and bad exchanged. */
+  public Tally complement() {
+    return new Tally(trials, trials - bad);
+  }
+
+  /** This tally and one more trial. */
+  public Tally with(double badness) {
+    return new Tally(trials + 1, bad + badness);
+  }
 }
