--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/config/InForceSection.java
@@ -0,0 +1,99 @@
+package org.guavagw.internal.config;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import org.guavagw.internal.membership.DataCentreSummary;
+import org.guavagw.internal.membership.DeltaTable;
+import org.guavagw.internal.membership.GossipLink;
+import org.guavagw.internal.membership.GossipSection;
+import org.guavagw.internal.membership.Member;
+import org.guavagw.internal.membership.MemberState;
+import org.guavagw.internal.peer.PeerCodec;
+
+/**
+ * Spreads within a data centre which revision is in force at each entry, with hashes in place of
+ * ids. Confined to the control thread.
+ *
+ * <p>Invariant: the revision of an entry never falls as long as the entry runs.
+ */
+final class InForceSection implements GossipSection {
+  private static final int CODE = 4;
+  private static final int MAX_NAMED_BEHIND = 8;
+
+  private final PeerCodec codec = new PeerCodec();
+  private final DeltaTable<Integer, EntryRevision> table = new DeltaTable<>();
+
+  /** Notes the revision that is in force at this entry. */
+  void inForce(String memberId, long revision) {
+    learn(new EntryRevision(hash(memberId), revision), Optional.empty());
+  }
+
+  private void learn(EntryRevision next, Optional<String> fromPeer) {
+    Optional<EntryRevision> known = table.get(next.entryHash());
+    if (known.isEmpty() || known.get().revision() < next.revision()) {
+      table.put(next.entryHash(), next, fromPeer);
+    }
+  }
+
+  /** Sums up the entries of a data centre that are not about to go. */
+  DataCentreSummary summarize(String dataCentre, long beat, List<Member> members) {
+    List<Member> counted = members.stream().filter(m -> m.state() != MemberState.LEAVING).toList();
+    long highest = counted.stream().mapToLong(this::revision).max().orElse(0);
+    long lowest = counted.stream().mapToLong(this::revision).min().orElse(0);
+    List<String> behind =
+        counted.stream()
+            .filter(m -> revision(m) < highest)
+            .map(Member::id)
+            .limit(MAX_NAMED_BEHIND)
+            .toList();
+    return new DataCentreSummary(dataCentre, beat, counted.size(), lowest, behind);
+  }
+
+  private long revision(Member member) {
+    return table.get(hash(member.id())).map(EntryRevision::revision).orElse(0L);
+  }
+
+  private static int hash(String memberId) {
+    return Hashing.murmur3_32_fixed().hashString(memberId, StandardCharsets.UTF_8).asInt();
+  }
+
+  @Override
+  public int code() {
+    return CODE;
+  }
+
+  @Override
+  public boolean crossesDataCentres() {
+    return false;
+  }
+
+  @Override
+  public Optional<byte[]> collect(GossipLink link) {
+    List<EntryRevision> changed = table.collect(link);
+    return changed.isEmpty() ? Optional.empty() : Optional.of(codec.encode(new Body(changed)));
+  }
+
+  @Override
+  public void receive(GossipLink link, byte[] content) {
+    Body body = codec.decode(content, Body.class);
+    body.changed().forEach(r -> learn(r, Optional.of(link.peerId())));
+  }
+
+  @Override
+  public void confirmed(GossipLink link) {
+    table.confirmed(link);
+  }
+
+  @Override
+  public void dropped(GossipLink link) {
+    table.dropped(link);
+  }
+
+  /** The revision in force at one entry. Immutable. */
+  private record EntryRevision(int entryHash, long revision) {}
+
+  /** The section as it travels. Immutable. */
+  private record Body(List<EntryRevision> changed) {}
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/config/TableConfigHistory.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/config/TableConfigHistory.java
@@ -26,7 +26,7 @@
  * before, and the newest checkpoint plus the deltas behind it give the newest configuration.
  * Thread-safe.
  */
-public final class TableConfigHistory implements ConfigHistory {
+public final class TableConfigHistory implements ConfigHistory, ConfigFeed {
   private static final long CHECKPOINT_INTERVAL_REVISIONS = 64;
 
   private final TableService tables;
@@ -40,19 +40,14 @@
 
   @Override
   public Either<ConfigFailure, RevisionedConfig> latest() {
-    return latestFrom(RevisionedConfig.NONE);
+    return since(RevisionedConfig.NONE).map(ConfigUpdate::config);
   }
 
-  /** The newest configuration, reading only what is new since the one given. */
-  public Either<ConfigFailure, RevisionedConfig> latestFrom(RevisionedConfig known) {
+  @Override
+  public Either<ConfigFailure, ConfigUpdate> since(RevisionedConfig known) {
     return readHead().flatMap(h -> load(h.record(), known));
   }
 
-  /** The newest accepted revision; one read of one row. */
-  public Either<ConfigFailure, Long> latestRevision() {
-    return readHead().map(h -> h.record().revision());
-  }
-
   @Override
   public Either<ConfigFailure, RevisionedConfig> apply(ConfigChange change) {
     return accepted(change)
@@ -76,7 +71,7 @@
       return afterConflict(change, head.record().revision());
     }
     return load(head.record(), RevisionedConfig.NONE)
-        .flatMap(before -> commit(change, head, before));
+        .flatMap(before -> commit(change, head, before.config()));
   }
 
   private Either<ConfigFailure, RevisionedConfig> commit(
@@ -185,28 +180,33 @@
     return newestFirst;
   }
 
-  private Either<ConfigFailure, RevisionedConfig> load(HeadRecord head, RevisionedConfig known) {
-    if (head.revision() <= known.revision()) {
-      return Either.right(known);
+  private Either<ConfigFailure, ConfigUpdate> load(HeadRecord head, RevisionedConfig known) {
+    if (head.revision() < known.revision()) {
+      return Either.left(new ConfigFailure.StoreUnavailable("the head row was read late"));
+    }
+    if (head.revision() == known.revision()) {
+      return Either.right(new ConfigUpdate(known, List.of()));
     }
     if (known.revision() >= head.checkpoint()) {
       return extend(known, head.revision());
     }
-    return checkpoint(head).flatMap(c -> extend(c, head.revision()));
+    return checkpoint(head)
+        .flatMap(c -> extend(c, head.revision()))
+        .map(u -> new ConfigUpdate(u.config(), List.of()));
   }
 
-  private Either<ConfigFailure, RevisionedConfig> extend(RevisionedConfig from, long to) {
+  private Either<ConfigFailure, ConfigUpdate> extend(RevisionedConfig from, long to) {
+    if (from.revision() == to) {
+      return Either.right(new ConfigUpdate(from, List.of()));
+    }
     return records(from.revision(), to)
         .flatMap(
-            records -> {
-              RevisionedConfig config = from;
-              for (RevisionRecord record : records) {
-                config = record.applyTo(config).orElse(config);
-              }
-              return config.revision() == to
-                  ? Either.right(config)
-                  : Either.left(new ConfigFailure.StoreUnavailable("revisions are missing"));
-            });
+            records ->
+                RevisionRecord.applyAll(from, records)
+                    .filter(c -> c.revision() == to)
+                    .<Either<ConfigFailure, ConfigUpdate>>map(
+                        c -> Either.right(new ConfigUpdate(c, records)))
+                    .orElseGet(() -> Either.left(incomplete())));
   }
 
   private Either<ConfigFailure, RevisionedConfig> checkpoint(HeadRecord head) {
@@ -219,7 +219,7 @@
         .flatMap(
             rows -> {
               if (rows.size() != chunks) {
-                return Either.left(new ConfigFailure.StoreUnavailable("checkpoint is incomplete"));
+                return Either.left(incomplete());
               }
               byte[] content = Bytes.concat(rows.stream().map(Row::value).toArray(byte[][]::new));
               return Either.right(
@@ -256,6 +256,10 @@
     return tables.range(table, from, to, limit).mapLeft(TableConfigHistory::unavailable);
   }
 
+  private static ConfigFailure incomplete() {
+    return new ConfigFailure.StoreUnavailable("the table service gave only a part of the rows");
+  }
+
   private static ConfigFailure unavailable(PlatformFailure failure) {
     return new ConfigFailure.StoreUnavailable(failure.reason());
   }
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/load/LoadSection.java
@@ -0,0 +1,185 @@
+package org.guavagw.internal.load;
+
+import com.google.common.base.Ticker;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.membership.DeltaTable;
+import org.guavagw.internal.membership.GossipLink;
+import org.guavagw.internal.membership.GossipSection;
+import org.guavagw.internal.peer.PeerCodec;
+
+/**
+ * Holds and spreads the reports on the backend servers of one data centre. Changes belong to the
+ * control thread; {@link #load} may be called from any.
+ *
+ * <p>Invariant: a report is replaced only by one of a higher sequence number, so reports that
+ * arrive out of order do no harm.
+ */
+final class LoadSection implements GossipSection, BackendLoadTable {
+  private static final int CODE = 5;
+  private static final long AGE_UNIT_NS = Duration.ofMillis(100).toNanos();
+  private static final long REFRESH_INTERVAL_NS = Duration.ofSeconds(10).toNanos();
+  private static final long MAX_AGE_NS = Duration.ofSeconds(60).toNanos();
+
+  private final PeerCodec codec = new PeerCodec();
+  private final DeltaTable<Integer, HotLoad> hot = new DeltaTable<>();
+  private final DeltaTable<Integer, ServerIdentity> identities = new DeltaTable<>();
+  private final Ticker ticker;
+  private volatile ServerHashes hashes = new ServerHashes(Set.of());
+
+  LoadSection(Ticker ticker) {
+    this.ticker = ticker;
+  }
+
+  void useHashes(ServerHashes next) {
+    hashes = next;
+  }
+
+  /** Takes a report that this entry polled itself. */
+  void observed(String server, ServerLoad load) {
+    int hash = ServerHashes.hash(server);
+    Optional<HotLoad> known = hot.get(hash);
+    long sequence = known.map(HotLoad::sequence).orElse(0L) + 1;
+    HotLoad next =
+        new HotLoad(hash, sequence, load.isCold(), load.running(), load.waiting(), ticker.read());
+    ServerIdentity identity = identity(hash, sequence, load);
+    Optional<ServerIdentity> before = identities.get(hash);
+    if (before.isEmpty() || !before.get().sameContent(identity)) {
+      identities.put(hash, identity, Optional.empty());
+      hot.put(hash, next, Optional.empty());
+      return;
+    }
+    if (known.isEmpty() || isWorthTelling(known.get(), next, load.slots())) {
+      hot.put(hash, next, Optional.empty());
+    }
+  }
+
+  private static boolean isWorthTelling(HotLoad known, HotLoad next, int slots) {
+    boolean old = next.observedAtNs() - known.observedAtNs() >= REFRESH_INTERVAL_NS;
+    return old || next.differsNotably(known, slots);
+  }
+
+  private static ServerIdentity identity(int hash, long sequence, ServerLoad load) {
+    return new ServerIdentity(
+        hash, sequence, load.bootId(), load.slots(), load.role(), load.versions(), load.adapters());
+  }
+
+  /** Time since the newest known report was polled; empty if there is none. */
+  Optional<Duration> age(String server) {
+    return hot.get(ServerHashes.hash(server))
+        .map(h -> Duration.ofNanos(ticker.read() - h.observedAtNs()));
+  }
+
+  @Override
+  public Optional<LoadReport> load(String backendServer) {
+    int hash = ServerHashes.hash(backendServer);
+    Optional<HotLoad> load = hot.get(hash);
+    Optional<ServerIdentity> identity = identities.get(hash);
+    if (load.isEmpty() || identity.isEmpty() || !hashes.isUnique(hash)) {
+      return Optional.empty();
+    }
+    long ageNs = ticker.read() - load.get().observedAtNs();
+    return ageNs > MAX_AGE_NS
+        ? Optional.empty()
+        : Optional.of(report(load.get(), identity.get(), Duration.ofNanos(ageNs)));
+  }
+
+  private static LoadReport report(HotLoad load, ServerIdentity identity, Duration age) {
+    List<VersionRef> versions = identity.versions().stream().map(VersionRef::parse).toList();
+    return new LoadReport(
+        identity.bootId(),
+        load.cold(),
+        load.running(),
+        load.waiting(),
+        identity.slots(),
+        versions,
+        age);
+  }
+
+  @Override
+  public int code() {
+    return CODE;
+  }
+
+  @Override
+  public boolean crossesDataCentres() {
+    return false;
+  }
+
+  @Override
+  public Optional<byte[]> collect(GossipLink link) {
+    List<ServerIdentity> changedIdentities = identities.collect(link);
+    List<HotLoad> changedLoads = hot.collect(link);
+    if (changedIdentities.isEmpty() && changedLoads.isEmpty()) {
+      return Optional.empty();
+    }
+    long now = ticker.read();
+    List<LoadDigest> digests = changedLoads.stream().map(l -> digest(l, now)).toList();
+    return Optional.of(codec.encode(new Body(changedIdentities, digests)));
+  }
+
+  private static LoadDigest digest(HotLoad load, long nowNs) {
+    long ageUnits = (nowNs - load.observedAtNs()) / AGE_UNIT_NS;
+    return new LoadDigest(
+        load.serverHash(),
+        load.sequence(),
+        ageUnits,
+        load.cold() ? 1 : 0,
+        load.running(),
+        load.waiting());
+  }
+
+  @Override
+  public void receive(GossipLink link, byte[] content) {
+    Body body = codec.decode(content, Body.class);
+    Optional<String> peer = Optional.of(link.peerId());
+    body.identities().forEach(i -> learn(i, peer));
+    body.loads().forEach(l -> learn(l, peer));
+  }
+
+  private void learn(ServerIdentity next, Optional<String> fromPeer) {
+    Optional<ServerIdentity> known = identities.get(next.serverHash());
+    if (known.isEmpty() || known.get().sequence() < next.sequence()) {
+      identities.put(next.serverHash(), next, fromPeer);
+    }
+  }
+
+  private void learn(LoadDigest next, Optional<String> fromPeer) {
+    Optional<HotLoad> known = hot.get(next.serverHash());
+    if (known.isPresent() && known.get().sequence() >= next.sequence()) {
+      return;
+    }
+    long observedAtNs = ticker.read() - next.ageUnits() * AGE_UNIT_NS;
+    HotLoad load =
+        new HotLoad(
+            next.serverHash(),
+            next.sequence(),
+            next.cold() != 0,
+            next.running(),
+            next.waiting(),
+            observedAtNs);
+    hot.put(next.serverHash(), load, fromPeer);
+  }
+
+  @Override
+  public void confirmed(GossipLink link) {
+    hot.confirmed(link);
+    identities.confirmed(link);
+  }
+
+  @Override
+  public void dropped(GossipLink link) {
+    hot.dropped(link);
+    identities.dropped(link);
+  }
+
+  /** The section as it travels. Immutable. */
+  private record Body(List<ServerIdentity> identities, List<LoadDigest> loads) {}
+
+  /** A report's changing part as it travels. Immutable. */
+  private record LoadDigest(
+      int serverHash, long sequence, long ageUnits, int cold, int running, int waiting) {}
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/load/LoadSpread.java
@@ -0,0 +1,160 @@
+package org.guavagw.internal.load;
+
+import com.google.common.base.Ticker;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.guavagw.config.BackendServerConfig;
+import org.guavagw.internal.config.ConfigHolder;
+import org.guavagw.internal.config.RevisionedConfig;
+import org.guavagw.internal.membership.GossipMembership;
+import org.guavagw.internal.membership.Member;
+import org.guavagw.internal.membership.Rendezvous;
+
+/**
+ * Has each backend server of the data centre polled by one entry and spreads the reports to all.
+ *
+ * <p>Invariants: an entry polls the backend servers for which it is the first choice of rendezvous
+ * hashing, and those for which it is the second while no report comes; at most one poll of a
+ * backend server is under way. State belongs to the control thread.
+ */
+public final class LoadSpread implements BackendLoadTable, AutoCloseable {
+  private static final long POLL_INTERVAL_MS = 1_000;
+  private static final double JITTER = 0.2;
+  private static final int CANDIDATES = 2;
+  private static final Duration TAKEOVER_AGE = Duration.ofSeconds(13);
+
+  private final ConfigHolder configs;
+  private final GossipMembership membership;
+  private final LoadSource source;
+  private final CacheEventListener cacheEvents;
+  private final ScheduledExecutorService control;
+  private final LoadSection section;
+  private final Set<String> polling = new HashSet<>();
+  private final Map<String, Long> lastEvents = new HashMap<>();
+  private List<Assignment> assignments = List.of();
+  private boolean reassign = true;
+  private volatile boolean closed;
+
+  public LoadSpread(
+      ConfigHolder configs,
+      GossipMembership membership,
+      LoadSource source,
+      CacheEventListener cacheEvents,
+      ScheduledExecutorService control,
+      Ticker ticker) {
+    this.configs = configs;
+    this.membership = membership;
+    this.source = source;
+    this.cacheEvents = cacheEvents;
+    this.control = control;
+    this.section = new LoadSection(ticker);
+    membership.add(section);
+    membership.onChange(members -> reassign = true);
+    configs.onAdopted(this::adopted);
+  }
+
+  private void adopted(RevisionedConfig config) {
+    section.useHashes(ServerHashes.of(config.config()));
+    reassign = true;
+  }
+
+  /** Starts to poll. */
+  public void start() {
+    control.execute(this::schedulePoll);
+  }
+
+  private void schedulePoll() {
+    if (closed) {
+      return;
+    }
+    double factor = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() - 0.5);
+    long delayMs = (long) (POLL_INTERVAL_MS * factor);
+    var unused = control.schedule(this::pollAll, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void pollAll() {
+    try {
+      if (reassign) {
+        reassign = false;
+        assignments = assign();
+      }
+      assignments.stream().filter(this::isDue).forEach(a -> poll(a.server()));
+    } finally {
+      schedulePoll();
+    }
+  }
+
+  private List<Assignment> assign() {
+    String dataCentre = membership.self().dataCentre();
+    String selfId = membership.self().id();
+    List<String> alive = membership.alive(dataCentre).stream().map(Member::id).toList();
+    List<Assignment> mine = new ArrayList<>();
+    for (BackendServerConfig server : configs.current().config().backendServers()) {
+      if (!server.dataCentre().equals(dataCentre)) {
+        continue;
+      }
+      int rank = Rendezvous.pick("load/" + server.id(), alive, CANDIDATES).indexOf(selfId);
+      if (rank >= 0) {
+        mine.add(new Assignment(server, rank == 0));
+      }
+    }
+    return List.copyOf(mine);
+  }
+
+  private boolean isDue(Assignment assignment) {
+    Optional<Duration> age = section.age(assignment.server().id());
+    boolean missing = age.isEmpty() || age.get().compareTo(TAKEOVER_AGE) > 0;
+    return assignment.first() || missing;
+  }
+
+  private void poll(BackendServerConfig server) {
+    if (!polling.add(server.id())) {
+      return;
+    }
+    var unused =
+        source
+            .load(server)
+            .thenCombineAsync(
+                source.cacheEvents(server, lastEvents.getOrDefault(server.id(), 0L)),
+                (load, events) -> finish(server.id(), load, events),
+                control)
+            .whenCompleteAsync((v, e) -> polling.remove(server.id()), control);
+  }
+
+  private boolean finish(
+      String server,
+      Either<LoadFailure, ServerLoad> load,
+      Either<LoadFailure, List<CacheEvent>> events) {
+    load.forEach(l -> section.observed(server, l));
+    events.filter(e -> !e.isEmpty()).forEach(e -> e.forEach(list -> took(server, list)));
+    return load.isRight();
+  }
+
+  private void took(String server, List<CacheEvent> events) {
+    lastEvents.put(server, events.get(events.size() - 1).seq());
+    cacheEvents.onEvents(server, events);
+  }
+
+  @Override
+  public Optional<LoadReport> load(String backendServer) {
+    return section.load(backendServer);
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+
+  /** A backend server that this entry polls, as first or second choice. Immutable. */
+  private record Assignment(BackendServerConfig server, boolean first) {}
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/load/ServerIdentity.java
@@ -0,0 +1,22 @@
+package org.guavagw.internal.load;
+
+import java.util.List;
+
+/** The part of a report that seldom changes. Immutable; ordered by sequence like the rest. */
+record ServerIdentity(
+    int serverHash,
+    long sequence,
+    String bootId,
+    int slots,
+    String role,
+    List<String> versions,
+    List<String> adapters) {
+
+  boolean sameContent(ServerIdentity other) {
+    return bootId.equals(other.bootId)
+        && slots == other.slots
+        && role.equals(other.role)
+        && versions.equals(other.versions)
+        && adapters.equals(other.adapters);
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/membership/MemberRecord.java
@@ -0,0 +1,73 @@
+package org.guavagw.internal.membership;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * What entries tell one another about a member. Immutable.
+ *
+ * <p>Invariant: records of one member are totally ordered by {@link #supersedes}, so entries that
+ * heard the same ones agree whatever the order. Only the member itself raises the version.
+ *
+ * @param gone whether the member was taken off the platform's list
+ */
+record MemberRecord(
+    String id,
+    String dataCentre,
+    String host,
+    int controlPort,
+    long incarnation,
+    long version,
+    MemberState state,
+    boolean gone) {
+
+  boolean supersedes(MemberRecord other) {
+    if (incarnation != other.incarnation) {
+      return incarnation > other.incarnation;
+    }
+    if (version != other.version) {
+      return version > other.version;
+    }
+    return rank() > other.rank();
+  }
+
+  private int rank() {
+    int stateRank =
+        switch (state) {
+          case ALIVE -> 0;
+          case SUSPECT -> 1;
+          case LEAVING -> 2;
+        };
+    return gone ? stateRank + 3 : stateRank;
+  }
+
+  MemberRecord withState(MemberState next) {
+    return new MemberRecord(id, dataCentre, host, controlPort, incarnation, version, next, gone);
+  }
+
+  MemberRecord withVersion(long next, MemberState nextState) {
+    return new MemberRecord(id, dataCentre, host, controlPort, incarnation, next, nextState, false);
+  }
+
+  MemberRecord asGone() {
+    return new MemberRecord(id, dataCentre, host, controlPort, incarnation, version, state, true);
+  }
+
+  Member toMember(boolean dataCentreSilent) {
+    boolean suspect = dataCentreSilent && state == MemberState.ALIVE;
+    MemberState shown = suspect ? MemberState.SUSPECT : state;
+    return new Member(id, dataCentre, host, controlPort, incarnation, shown);
+  }
+
+  /** A number that differs between different records; their sum stands for a whole table. */
+  long digest() {
+    return Hashing.murmur3_128()
+        .newHasher()
+        .putString(id, StandardCharsets.UTF_8)
+        .putLong(incarnation)
+        .putLong(version)
+        .putInt(rank())
+        .hash()
+        .asLong();
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/membership/VmListReader.java
@@ -0,0 +1,111 @@
+package org.guavagw.internal.membership;
+
+import com.google.common.base.Ticker;
+import com.google.common.flogger.FluentLogger;
+import io.vavr.control.Either;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
+import org.guavagw.platform.PlatformFailure;
+import org.guavagw.platform.Vm;
+import org.guavagw.platform.VmList;
+
+/**
+ * Reads the platform's list and turns it into member records.
+ *
+ * <p>Invariants: the list adds members and lets go of those that do not live; it never takes away a
+ * member that answers, and a failed read changes nothing. Reads run on the blocking executor, all
+ * else on the control thread.
+ */
+final class VmListReader {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final VmList vmList;
+  private final MemberRecords records;
+  private final GossipSettings settings;
+  private final Executor blocking;
+  private final Executor control;
+  private final Ticker ticker;
+  private final Map<String, Long> absentSinceNs = new HashMap<>();
+  private final AtomicBoolean reading = new AtomicBoolean();
+
+  VmListReader(
+      VmList vmList,
+      MemberRecords records,
+      GossipSettings settings,
+      Executor blocking,
+      Executor control,
+      Ticker ticker) {
+    this.vmList = vmList;
+    this.records = records;
+    this.settings = settings;
+    this.blocking = blocking;
+    this.control = control;
+    this.ticker = ticker;
+  }
+
+  /** Starts a read unless one is under way. */
+  void read() {
+    if (reading.compareAndSet(false, true)) {
+      blocking.execute(this::readNow);
+    }
+  }
+
+  private void readNow() {
+    try {
+      Either<PlatformFailure, List<Vm>> vms = vmList.vms();
+      if (vms.isRight()) {
+        control.execute(() -> take(vms.get()));
+      }
+    } catch (RuntimeException e) {
+      logger.atWarning().withCause(e).log("reading the list of VMs failed");
+    } finally {
+      reading.set(false);
+    }
+  }
+
+  /** Takes a list of VMs. */
+  void take(List<Vm> vms) {
+    vms.forEach(this::learn);
+    Set<String> listed = vms.stream().map(Vm::id).collect(Collectors.toSet());
+    absentSinceNs.keySet().removeAll(listed);
+    records.present().stream().filter(r -> !listed.contains(r.id())).forEach(this::absent);
+  }
+
+  private void learn(Vm vm) {
+    Optional<MemberRecord> known = records.table().get(vm.id());
+    MemberRecord record =
+        known.orElseGet(
+            () ->
+                new MemberRecord(
+                    vm.id(),
+                    vm.dataCentre(),
+                    vm.host(),
+                    vm.controlPort(),
+                    0,
+                    0,
+                    MemberState.ALIVE,
+                    false));
+    MemberState state = vm.leaving() ? MemberState.LEAVING : record.state();
+    records.learn(record.withState(state), Optional.empty());
+  }
+
+  private void absent(MemberRecord record) {
+    boolean own = record.dataCentre().equals(records.self().dataCentre());
+    boolean lives = record.state() == MemberState.ALIVE && record.incarnation() > 0;
+    if (!own || lives) {
+      absentSinceNs.remove(record.id());
+      return;
+    }
+    long since = absentSinceNs.computeIfAbsent(record.id(), id -> ticker.read());
+    if (ticker.read() - since >= settings.removalDelay().toNanos()) {
+      absentSinceNs.remove(record.id());
+      records.learn(record.asGone(), Optional.empty());
+    }
+  }
+}
