--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/ContinuousBatch.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/ContinuousBatch.java
@@ -33,6 +33,7 @@
   private int finishedSinceBoot;
   private int running;
   private long arrivals;
+  private long restarts;
   private long coldOverloads;
   private long disconnects;
 
@@ -69,9 +70,13 @@
     return removed;
   }
 
-  void release(boolean finished) {
+  /** Frees the slot of a job; without effect when the engine was restarted since its start. */
+  void release(Start start, boolean finished) {
     List<Ready> ready = new ArrayList<>();
     synchronized (this) {
+      if (start.restarts() != restarts) {
+        return;
+      }
       running--;
       finishedSinceBoot += finished ? 1 : 0;
       while (running < limit() && !waiting.isEmpty()) {
@@ -89,6 +94,14 @@
     changed();
   }
 
+  /** Turns cold with nothing running or waiting. */
+  synchronized void restart() {
+    restarts++;
+    running = 0;
+    waiting.clear();
+    turnCold();
+  }
+
   synchronized void load(VersionRef version) {
     versions.add(version);
     changed();
@@ -167,7 +180,7 @@
   private Start occupy() {
     running++;
     changed();
-    return new Start(cold(), running);
+    return new Start(restarts, cold(), running);
   }
 
   private int limit() {
@@ -196,7 +209,7 @@
   }
 
   /** State of the batch when a job started, which counts already. Immutable. */
-  record Start(boolean cold, int concurrency) {}
+  record Start(long restarts, boolean cold, int concurrency) {}
 
   /** A job in the queue. */
   private record Waiting(Job job, long arrival) {}
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineStandIn.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineStandIn.java
@@ -100,8 +100,9 @@
     engine.connections().reset();
   }
 
-  /** Closes the listener and all connections; requests under way are cancelled. */
+  /** Closes the listener and all connections; requests under way fail. */
   public void die() {
+    engine.requests().failAll();
     resetOpenConnections();
     server.close();
   }
@@ -109,6 +110,7 @@
   /** Starts again, cold, on the same port. */
   public void revive() {
     turnCold();
+    engine.batch().restart();
     server.start();
   }
 
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
@@ -13,8 +13,8 @@
 
 /**
  * One request on its way through an engine: waiting, prefilling, writing tokens, ended. Confined to
- * the event loop of its connection; {@link #started} and {@link #cancel} may be called from any
- * thread.
+ * the event loop of its connection; {@link #started}, {@link #cancel} and {@link #fail} may be
+ * called from any thread.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class Generation implements ContinuousBatch.Job {
@@ -32,7 +32,7 @@
   private Future<?> keepAlive;
   private int logIndex;
   private int nextToken;
-  private boolean running;
+  private Optional<ContinuousBatch.Start> start = Optional.empty();
   private boolean ended;
 
   Generation(Engine engine, GenerationRequest request, Context ctx) {
@@ -74,13 +74,18 @@
   }
 
   @Override
-  public void started(ContinuousBatch.Start start) {
-    loop.execute(() -> begin(start));
+  public void started(ContinuousBatch.Start now) {
+    loop.execute(() -> begin(now));
   }
 
   /** Ends the request wherever it is; harmless when it has ended. */
   void cancel() {
-    loop.execute(this::stop);
+    loop.execute(() -> stop(Outcome.CANCELLED));
+  }
+
+  /** Ends the request because the engine dies. */
+  void fail() {
+    loop.execute(() -> stop(Outcome.FAILED));
   }
 
   private Optional<EngineRefusal> admit() {
@@ -126,13 +131,13 @@
     return other;
   }
 
-  private void begin(ContinuousBatch.Start start) {
-    running = true;
+  private void begin(ContinuousBatch.Start now) {
     if (ended) {
-      release(false);
+      engine.batch().release(now, false);
       return;
     }
-    logIndex = engine.log().started(execution(start));
+    start = Optional.of(now);
+    logIndex = engine.log().started(execution(now));
     quality =
         engine.faults().quality(engine.quality().quality(request.version(), request.prompt()));
     int missing = engine.cache().store(Prompts.blockHashes(request.prompt()));
@@ -188,16 +193,16 @@
   }
 
   private void finish() {
-    writer.finish(Usage.of(request.promptTokens(), nextToken));
     end(Outcome.FINISHED);
+    writer.finish(Usage.of(request.promptTokens(), nextToken));
   }
 
-  private void stop() {
+  private void stop(Outcome outcome) {
     if (ended) {
       return;
     }
     muteIfSilent();
-    end(Outcome.CANCELLED);
+    end(outcome);
     writer.cut();
   }
 
@@ -207,11 +212,11 @@
     }
     writer = SilentAnswer.INSTANCE;
     engine.batch().countDisconnect();
-    stop();
+    stop(Outcome.CANCELLED);
   }
 
   private void onDeadline() {
-    if (running || ended || !engine.batch().withdraw(this)) {
+    if (start.isPresent() || ended || !engine.batch().withdraw(this)) {
       return;
     }
     muteIfSilent();
@@ -228,16 +233,12 @@
     ended = true;
     keepAlive.cancel(false);
     engine.requests().end(request.requestId(), this);
-    if (running) {
-      engine.log().ended(logIndex, Instant.now(), outcome);
-      release(outcome == Outcome.FINISHED);
+    if (start.isEmpty()) {
+      engine.batch().withdraw(this);
       return;
     }
-    engine.batch().withdraw(this);
-  }
-
-  private void release(boolean finished) {
-    engine.batch().release(finished);
+    engine.log().ended(logIndex, Instant.now(), outcome);
+    engine.batch().release(start.get(), outcome == Outcome.FINISHED);
   }
 
   private void muteIfSilent() {
@@ -264,7 +265,7 @@
     loop.schedule(task, after.toNanos(), TimeUnit.NANOSECONDS);
   }
 
-  private Execution execution(ContinuousBatch.Start start) {
+  private Execution execution(ContinuousBatch.Start now) {
     return new Execution(
         engine.settings().name(),
         request.requestId(),
@@ -274,7 +275,7 @@
         Instant.now(),
         Optional.empty(),
         Outcome.RUNNING,
-        start.cold(),
-        start.concurrency());
+        now.cold(),
+        now.concurrency());
   }
 }
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/KnownRequests.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/KnownRequests.java
@@ -30,6 +30,10 @@
     return Optional.ofNullable(active.get(requestId));
   }
 
+  void failAll() {
+    active.values().forEach(Generation::fail);
+  }
+
   boolean canResume(String requestId) {
     return resumable.getIfPresent(requestId) != null;
   }
--- a/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineClient.java
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineClient.java
@@ -21,7 +21,7 @@
   private final OkHttpClient client =
       new OkHttpClient.Builder()
           .retryOnConnectionFailure(false)
-          .readTimeout(Duration.ofSeconds(5))
+          .readTimeout(Duration.ofSeconds(1))
           .build();
   private final int port;
 
