--- a/guavagw-core/src/main/java/org/guavagw/internal/billing/BillBook.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/billing/BillBook.java
@@ -3,14 +3,14 @@
 import com.google.common.flogger.FluentLogger;
 import io.vavr.control.Either;
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import java.util.function.UnaryOperator;
 import org.guavagw.internal.rows.WritePacer;
 import org.guavagw.internal.time.Clocks;
 import org.guavagw.platform.TableService;
@@ -25,18 +25,23 @@
  */
 public final class BillBook implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long IDLE_WAIT_MS = 1;
+  private static final int MAX_ADOPTED_PER_WRITE = 50;
+  private static final long IDLE_WAIT_MS = 1_000;
+  private static final long FLUSH_POLL_MS = 1;
   private static final long FAILED_WRITE_WAIT_MS = 250;
 
-  private final Deque<Adoption> adoptions = new ArrayDeque<>();
+  private final Semaphore work = new Semaphore(0);
+  private final AdoptedSegments adopted = new AdoptedSegments();
   private final UnbilledRequests requests;
-  private final JournalTable journals;
+  private final SegmentWriter own;
+  private final TableSegmentWriter table;
   private final BillSettings settings;
   private final WritePacer pacer;
   private volatile JournalId journal;
-  private Optional<Long> journalVersion = Optional.empty();
   private Optional<PreparedSegment> sent = Optional.empty();
   private long nextNumber;
+  private int adoptedPerWrite = MAX_ADOPTED_PER_WRITE;
+  private boolean adoptedNext;
   private volatile boolean storeAway;
   private volatile boolean stopped;
   private Thread writer;
@@ -52,7 +57,23 @@
       BillSettings settings,
       IntSupplier members,
       Clocks clocks) {
-    this.journals = new JournalTable(table);
+    this(new TableSegmentWriter(table), own -> own, journal, settings, members, clocks);
+  }
+
+  /**
+   * A book that writes its own segments by another way than straight to the table service.
+   *
+   * @param way makes the writer of own segments from that of the table service
+   */
+  public BillBook(
+      TableSegmentWriter table,
+      UnaryOperator<SegmentWriter> way,
+      JournalId journal,
+      BillSettings settings,
+      IntSupplier members,
+      Clocks clocks) {
+    this.table = table;
+    this.own = way.apply(table);
     this.journal = journal;
     this.settings = settings;
     this.requests = new UnbilledRequests(settings);
@@ -73,6 +94,7 @@
       durable.complete(deferred());
     }
     long deferMs = settings.deferAfter().toMillis();
+    wakeWriter();
     durable.completeOnTimeout(deferred(), deferMs, TimeUnit.MILLISECONDS);
     return new BillIntent(opening.requestId(), durable);
   }
@@ -80,11 +102,13 @@
   /** Bills a request; only the first call for a request counts. */
   public void settle(Settlement settlement) {
     requests.settle(settlement);
+    wakeWriter();
   }
 
   /** Closes the bill of a request that did not run without a charge. */
   public void cancel(String requestId) {
     requests.cancel(requestId);
+    wakeWriter();
   }
 
   /** What is still owed, for the state dump. */
@@ -96,19 +120,19 @@
   public boolean flush(Duration limit) throws InterruptedException {
     long deadline = System.nanoTime() + limit.toNanos();
     while (!isWritten() && System.nanoTime() - deadline < 0) {
-      TimeUnit.MILLISECONDS.sleep(IDLE_WAIT_MS);
+      TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MS);
     }
     return isWritten();
   }
 
-  private synchronized boolean isWritten() {
-    return requests.isIdle() && adoptions.isEmpty();
+  private boolean isWritten() {
+    return requests.isIdle() && adopted.isEmpty();
   }
 
   private void writeUntilStopped() {
     while (!stopped) {
       try {
-        TimeUnit.NANOSECONDS.sleep(Math.max(pacer.nanosUntilNext(), waitNanos(writeNext())));
+        waitAfter(writeNext());
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
         return;
@@ -116,12 +140,25 @@
     }
   }
 
-  private static long waitNanos(WriteStep step) {
-    return switch (step) {
-      case WROTE, PACED -> 0;
-      case IDLE -> TimeUnit.MILLISECONDS.toNanos(IDLE_WAIT_MS);
-      case FAILED -> TimeUnit.MILLISECONDS.toNanos(FAILED_WRITE_WAIT_MS);
-    };
+  private void waitAfter(WriteStep step) throws InterruptedException {
+    switch (step) {
+      case IDLE -> awaitWork();
+      case FAILED -> TimeUnit.MILLISECONDS.sleep(FAILED_WRITE_WAIT_MS);
+      default -> TimeUnit.NANOSECONDS.sleep(pacer.nanosUntilNext());
+    }
+  }
+
+  private void awaitWork() throws InterruptedException {
+    boolean woken = work.tryAcquire(IDLE_WAIT_MS, TimeUnit.MILLISECONDS);
+    if (woken) {
+      work.drainPermits();
+    }
+  }
+
+  private void wakeWriter() {
+    if (work.availablePermits() == 0) {
+      work.release();
+    }
   }
 
   /** Writes at most one transaction, if the pace allows it. */
@@ -132,29 +169,26 @@
     if (!pacer.tryAcquire()) {
       return WriteStep.PACED;
     }
-    if (!adoptions.isEmpty()) {
-      return writeAdopted(adoptions.peekFirst());
-    }
-    return journalVersion.isEmpty() ? openJournal() : writeSegment(journalVersion.get());
+    adoptedNext = !adopted.isEmpty() && (requests.isIdle() || !adoptedNext);
+    return adoptedNext ? writeAdopted() : writeSegment();
   }
 
-  private WriteStep openJournal() {
-    return journals.open(journal).fold(this::failed, this::opened);
+  private WriteStep writeAdopted() {
+    List<Either<BillFailure, Void>> results = table.writeFirst(adopted.first(adoptedPerWrite));
+    adopted.settle(results);
+    adoptedPerWrite = results.isEmpty() ? 1 : Math.min(2 * adoptedPerWrite, MAX_ADOPTED_PER_WRITE);
+    boolean anyDone = results.isEmpty() || results.stream().anyMatch(Either::isRight);
+    return anyDone ? WriteStep.WROTE : WriteStep.FAILED;
   }
 
-  private WriteStep opened(long version) {
-    journalVersion = Optional.of(version);
-    return WriteStep.WROTE;
-  }
-
-  private WriteStep writeSegment(long version) {
+  private WriteStep writeSegment() {
     if (sent.isEmpty()) {
-      sent = requests.nextSegment().map(row -> prepare(row));
+      sent = requests.nextSegment().map(this::prepare);
     }
     if (sent.isEmpty()) {
       return WriteStep.IDLE;
     }
-    return journals.append(sent.get(), version).fold(this::failed, done -> written());
+    return own.write(sent.get()).fold(this::failed, done -> written());
   }
 
   private PreparedSegment prepare(SegmentRow row) {
@@ -181,41 +215,17 @@
   private void startNextJournal() {
     logger.atWarning().log("journal %s was closed, the sweeper bills its intents", journal);
     journal = journal.next();
-    journalVersion = Optional.empty();
     nextNumber = 0;
     sent = Optional.empty();
     requests.moveToNewJournal();
   }
 
-  private WriteStep writeAdopted(Adoption adoption) {
-    if (adoption.remaining.isEmpty()) {
-      return finishAdoption(adoption, Either.right(null));
-    }
-    PreparedSegment segment = adoption.remaining.peekFirst();
-    Either<BillFailure, Void> result =
-        journals.open(segment.journal()).flatMap(version -> journals.append(segment, version));
-    if (result.isRight()) {
-      adoption.remaining.removeFirst();
-      return adoption.remaining.isEmpty() ? finishAdoption(adoption, result) : WriteStep.WROTE;
-    }
-    if (result.getLeft() instanceof BillFailure.JournalClosed) {
-      return finishAdoption(adoption, result);
-    }
-    return WriteStep.FAILED;
-  }
-
-  private WriteStep finishAdoption(Adoption adoption, Either<BillFailure, Void> result) {
-    adoptions.remove(adoption);
-    adoption.done.complete(result);
-    return WriteStep.WROTE;
-  }
-
   /** Stops writing and gives out what is unwritten, for a peer that reaches the table service. */
   public UnbilledSnapshot handOver() {
     stop();
     List<PreparedSegment> segments = new ArrayList<>();
     synchronized (this) {
-      adoptions.forEach(a -> segments.addAll(a.remaining));
+      segments.addAll(adopted.first(Integer.MAX_VALUE));
       sent.ifPresent(segments::add);
       requests.confirm();
       Optional<SegmentRow> row = requests.nextSegment();
@@ -232,15 +242,19 @@
    * Writes what another entry could not. The other entry and further peers may write the same
    * snapshot too.
    */
-  public synchronized CompletableFuture<Either<BillFailure, Void>> takeOver(
-      UnbilledSnapshot snapshot) {
-    Adoption adoption = new Adoption(new ArrayDeque<>(snapshot.segments()));
-    adoptions.addLast(adoption);
-    return adoption.done;
+  public CompletableFuture<Either<BillFailure, Void>> takeOver(UnbilledSnapshot snapshot) {
+    CompletableFuture<Either<BillFailure, Void>> all =
+        CompletableFuture.completedFuture(Either.right(null));
+    for (PreparedSegment segment : snapshot.segments()) {
+      all = all.thenCombine(adopted.add(segment), (first, next) -> first.flatMap(done -> next));
+    }
+    wakeWriter();
+    return all;
   }
 
   private void stop() {
     stopped = true;
+    wakeWriter();
     Thread running;
     synchronized (this) {
       running = writer;
@@ -272,14 +286,4 @@
     WROTE,
     FAILED
   }
-
-  /** A snapshot of another entry that is being written. Guarded by the book's lock. */
-  private static final class Adoption {
-    private final CompletableFuture<Either<BillFailure, Void>> done = new CompletableFuture<>();
-    private final Deque<PreparedSegment> remaining;
-
-    Adoption(Deque<PreparedSegment> remaining) {
-      this.remaining = remaining;
-    }
-  }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/billing/JournalTable.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/billing/JournalTable.java
@@ -1,6 +1,7 @@
 package org.guavagw.internal.billing;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -62,18 +63,30 @@
   }
 
   /** Writes a segment unless the journal holds it. */
-  Either<BillFailure, Void> append(PreparedSegment segment, long journalVersion) {
-    RowKey live = segment.journal().liveKey();
-    RowKey key = segment.journal().segmentKey(segment.number());
-    Transaction transaction =
-        new Transaction(
-            List.of(new Condition.Absent(key), new Condition.VersionIs(live, journalVersion)),
-            List.of(new Mutation.Put(key, segment.content())));
-    Either<PlatformFailure, CommitResult> result = table.commit(transaction);
+  Either<BillFailure, Void> append(Append append) {
+    Either<PlatformFailure, CommitResult> result = table.commit(transaction(List.of(append)));
     if (result.isRight() && result.get() instanceof CommitResult.Committed) {
       return Either.right(null);
     }
-    return readBack(segment, result);
+    return readBack(append.segment(), result);
+  }
+
+  /** Writes segments in one transaction; tells whether nothing conflicted. */
+  Either<BillFailure, Boolean> appendAll(List<Append> appends) {
+    return commit(transaction(appends));
+  }
+
+  private static Transaction transaction(List<Append> appends) {
+    List<Condition> conditions = new ArrayList<>();
+    List<Mutation> mutations = new ArrayList<>();
+    for (Append append : appends) {
+      PreparedSegment segment = append.segment();
+      RowKey key = segment.journal().segmentKey(segment.number());
+      conditions.add(new Condition.Absent(key));
+      conditions.add(new Condition.VersionIs(segment.journal().liveKey(), append.journalVersion()));
+      mutations.add(new Mutation.Put(key, segment.content()));
+    }
+    return new Transaction(conditions, mutations);
   }
 
   private Either<BillFailure, Void> readBack(
@@ -126,4 +139,7 @@
   static BillFailure unavailable(PlatformFailure failure) {
     return new BillFailure.StoreUnavailable(failure.reason());
   }
+
+  /** A segment and the version that its open journal's row has. Immutable. */
+  record Append(PreparedSegment segment, long journalVersion) {}
 }
--- /dev/null
+++ b/guavagw-core/src/test/java/org/guavagw/internal/billing/BillBookTest.java
@@ -0,0 +1,323 @@
+package org.guavagw.internal.billing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.billing.BillBook.WriteStep;
+import org.guavagw.internal.durable.ManualClocks;
+import org.guavagw.internal.durable.ScriptedTable;
+import org.guavagw.internal.lease.LeaseHolder;
+import org.guavagw.internal.lease.LeaseTerms;
+import org.guavagw.internal.lease.TableLeaseService;
+import org.guavagw.standins.table.InMemoryTableService;
+import org.junit.jupiter.api.Test;
+
+class BillBookTest {
+  private static final VersionRef VERSION = new VersionRef("small", "1");
+  private static final BillSettings SETTINGS =
+      new BillSettings(100, 50, 1_000, Duration.ofMinutes(5));
+  private static final Duration SWEEP_DELAY = Duration.ofSeconds(60);
+
+  private final ManualClocks time = new ManualClocks();
+  private final ScriptedTable table = new ScriptedTable(new InMemoryTableService());
+  private final ScriptedTable peerTable = table.peer();
+  private final BillLedger ledger = new BillLedger(table.peer());
+  private final List<CompletableFuture<?>> handovers = new ArrayList<>();
+  private final BillBook book = book(table, "a");
+  private final BillBook peer = book(peerTable, "b");
+  private final BillSweeper sweeper = sweeper("b", UnknownOutcomeCharge.INPUT_ONLY);
+
+  private BillBook book(ScriptedTable view, String entry) {
+    return new BillBook(view, new JournalId(entry, 1, 0), SETTINGS, () -> 1, time.clocks());
+  }
+
+  private BillSweeper sweeper(String holder, UnknownOutcomeCharge charge) {
+    return new BillSweeper(
+        peerTable,
+        new TableLeaseService(
+            peerTable,
+            new LeaseHolder(holder, 1),
+            LeaseTerms.standard(),
+            time.clocks().monotonic()),
+        (entry, incarnation) -> entry.equals("a"),
+        charge,
+        SWEEP_DELAY,
+        time.clocks().monotonic());
+  }
+
+  @Test
+  void shouldReleaseAnswerOnlyOnceItsIntentIsDurable() {
+    CompletableFuture<IntentOutcome> durable = open("r1").durable();
+    assertThat(durable).isNotDone();
+    writeAll(book);
+    assertThat(durable.join()).isEqualTo(new IntentOutcome.Durable());
+    assertThat(ledger.unsettled().get()).extracting(BillOpening::requestId).containsExactly("r1");
+  }
+
+  @Test
+  void shouldBillOnceWhenAnswersToWritesAreLost() {
+    open("r1");
+    table.loseAnswers(1);
+    writeAll(book);
+    settle("r1", 7);
+    table.loseAnswers(1);
+    writeAll(book);
+    assertBilled("r1", 7, BillBasis.ACTUAL);
+  }
+
+  @Test
+  void shouldBillOnceWhenWritesAreLostAtRandom() {
+    table.loseAtRandom(0.4, 42);
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < 300; i++) {
+      String id = "r" + i;
+      ids.add(id);
+      open(id);
+      writeSome(book, i % 3);
+      settle(id, 1);
+      settle(id, 2);
+    }
+    writeAll(book);
+    assertThat(ledger.bills().get())
+        .allMatch(b -> b.costMicros() == 1)
+        .extracting(Bill::requestId)
+        .containsExactlyInAnyOrderElementsOf(ids);
+  }
+
+  @Test
+  void shouldChargeNothingForRequestThatDidNotRun() {
+    open("r1");
+    writeAll(book);
+    book.cancel("r1");
+    settle("r1", 7);
+    open("r2");
+    book.cancel("r2");
+    writeAll(book);
+    assertBilled("r1", 0, BillBasis.NOT_RUN);
+  }
+
+  @Test
+  void shouldMakeOneBillOfAllAttempts() {
+    open("r1");
+    BilledAttempt attempt = new BilledAttempt("server", VERSION, 10, 5, 3);
+    book.settle(new Settlement("r1", 6, List.of(attempt, attempt)));
+    writeAll(book);
+    assertThat(ledger.bills().get())
+        .singleElement()
+        .satisfies(b -> assertThat(b.attempts()).containsExactly(attempt, attempt));
+  }
+
+  @Test
+  void shouldLetSweeperBillRequestsOfEntryKilledAfterRun() {
+    open("r1");
+    open("r2");
+    writeAll(book);
+    settle("r2", 7);
+    writeAll(book);
+    settle("r1", 9);
+    sweepAfterDelay();
+    assertThat(ledger.bills().get())
+        .extracting(Bill::requestId, Bill::costMicros, Bill::basis)
+        .containsExactlyInAnyOrder(
+            tuple("r1", 2L, BillBasis.UNKNOWN_OUTCOME), tuple("r2", 7L, BillBasis.ACTUAL));
+  }
+
+  @Test
+  void shouldRefuseLateBillOfEntryThatWasOnlyPaused() {
+    open("r1");
+    writeAll(book);
+    sweepAfterDelay();
+    settle("r1", 9);
+    open("r2");
+    settle("r2", 4);
+    writeAll(book);
+    assertThat(ledger.bills().get())
+        .extracting(Bill::requestId, Bill::costMicros)
+        .containsExactlyInAnyOrder(tuple("r1", 2L), tuple("r2", 4L));
+  }
+
+  @Test
+  void shouldBillOnceWhenSweeperClosesJournalBetweenSendingAndArrivalOfBill() {
+    open("r1");
+    writeAll(book);
+    settle("r1", 9);
+    table.beforeNextCommit(this::sweepAfterDelay);
+    writeAll(book);
+    assertBilled("r1", 2, BillBasis.UNKNOWN_OUTCOME);
+  }
+
+  @Test
+  void shouldBillOnceWhenBillArrivesBetweenSweepersReadAndItsClose() {
+    open("r1");
+    writeAll(book);
+    settle("r1", 9);
+    sweeper.sweep();
+    time.advance(SWEEP_DELAY);
+    peerTable.beforeNextCommit(() -> peerTable.beforeNextCommit(() -> writeAll(book)));
+    sweepAfterDelay();
+    assertBilled("r1", 9, BillBasis.ACTUAL);
+  }
+
+  @Test
+  void shouldBillOnceWhenTwoSweepersRace() {
+    BillSweeper other = sweeper("c", UnknownOutcomeCharge.MAXIMUM);
+    open("r1");
+    writeAll(book);
+    sweeper.sweep();
+    time.advance(SWEEP_DELAY);
+    other.sweep();
+    time.advance(SWEEP_DELAY);
+    peerTable.beforeNextCommit(() -> peerTable.beforeNextCommit(other::sweep));
+    sweeper.sweep();
+    sweeper.sweep();
+    assertThat(ledger.bills().get()).extracting(Bill::requestId).containsExactly("r1");
+  }
+
+  @Test
+  void shouldBillOnceWhenSweepersAnswersAreLost() {
+    open("r1");
+    writeAll(book);
+    sweeper.sweep();
+    time.advance(SWEEP_DELAY);
+    peerTable.loseAtRandom(0.5, 7);
+    for (int i = 0; i < 20; i++) {
+      sweeper.sweep();
+    }
+    assertBilled("r1", 2, BillBasis.UNKNOWN_OUTCOME);
+  }
+
+  @Test
+  void shouldServeWhileStoreIsDownAndWriteAllBillsAfter() {
+    table.down(true);
+    List<String> ids = new ArrayList<>();
+    for (int i = 0; i < 600; i++) {
+      String id = "r" + i;
+      ids.add(id);
+      CompletableFuture<IntentOutcome> durable = open(id).durable();
+      writeSome(book, 1);
+      assertThat(durable.join().mayServe()).isTrue();
+      settle(id, 1);
+    }
+    table.down(false);
+    int before = table.commits();
+    Duration took = writeAll(book);
+    assertThat(table.commits() - before).isLessThanOrEqualTo(20);
+    assertThat(took).isLessThanOrEqualTo(Duration.ofSeconds(1));
+    assertThat(ledger.bills().get())
+        .extracting(Bill::requestId)
+        .containsExactlyInAnyOrderElementsOf(ids);
+  }
+
+  @Test
+  void shouldNeverWriteFasterThanItsShare() {
+    int seconds = 20;
+    table.loseAtRandom(0.2, 3);
+    for (int i = 0; i < seconds * 1_000; i++) {
+      open("r" + i);
+      book.writeNext();
+      settle("r" + i, 1);
+      time.advance(Duration.ofMillis(1));
+    }
+    assertThat(table.commits())
+        .isLessThanOrEqualTo((int) (seconds * SETTINGS.writesPerSecond()) + 2);
+  }
+
+  @Test
+  void shouldRefuseNewRequestsWhenTooManyWait() {
+    table.down(true);
+    for (int i = 0; i < SETTINGS.maxUnbilled(); i++) {
+      open("r" + i);
+    }
+    assertThat(open("one more").durable().join()).isInstanceOf(IntentOutcome.Refused.class);
+  }
+
+  @Test
+  void shouldLetPeersWriteWhatEntryCouldNot() {
+    open("r1");
+    writeAll(book);
+    settle("r1", 3);
+    open("r2");
+    settle("r2", 4);
+    table.loseAnswers(1);
+    table.afterNextRead(() -> table.down(true));
+    writeSome(book, 3);
+    BillBook second = book(peerTable, "c");
+    UnbilledSnapshot snapshot = book.handOver();
+    CompletableFuture<Either<BillFailure, Void>> written = peer.takeOver(snapshot);
+    handovers.add(second.takeOver(snapshot));
+    writeAll(peer);
+    writeAll(second);
+    assertThat(written.join().isRight()).isTrue();
+    sweepAfterDelay();
+    assertThat(ledger.bills().get())
+        .extracting(Bill::requestId, Bill::costMicros)
+        .containsExactlyInAnyOrder(tuple("r1", 3L), tuple("r2", 4L));
+  }
+
+  @Test
+  void shouldWriteSegmentsOfManyEntriesInOneTransaction() {
+    List<BillBook> books = new ArrayList<>();
+    for (int i = 0; i < 25; i++) {
+      BillBook each = book(table.peer(), "entry" + i);
+      each.open(opening("first" + i));
+      writeAll(each);
+      each.open(opening("second" + i));
+      books.add(each);
+    }
+    books.forEach(b -> handovers.add(peer.takeOver(b.handOver())));
+    writeAll(peer);
+    int before = peerTable.commits();
+    books.forEach(b -> b.open(opening("third" + b.unbilled().journal())));
+    books.forEach(b -> handovers.add(peer.takeOver(b.handOver())));
+    writeAll(peer);
+    assertThat(peerTable.commits() - before).isLessThanOrEqualTo(2);
+    assertThat(ledger.unsettled().get()).hasSize(75);
+    assertThat(handovers).allMatch(CompletableFuture::isDone);
+  }
+
+  private BillIntent open(String id) {
+    return book.open(opening(id));
+  }
+
+  private BillOpening opening(String id) {
+    return new BillOpening(id, "team", VERSION, 2, 100, time.clocks().wall().instant());
+  }
+
+  private void settle(String id, long micros) {
+    book.settle(new Settlement(id, micros, List.of()));
+  }
+
+  private void sweepAfterDelay() {
+    sweeper.sweep();
+    time.advance(SWEEP_DELAY);
+    sweeper.sweep();
+  }
+
+  private Duration writeAll(BillBook writer) {
+    long start = time.clocks().monotonic().read();
+    while (writer.writeNext() != WriteStep.IDLE) {
+      time.advance(Duration.ofMillis(10));
+    }
+    return Duration.ofNanos(time.clocks().monotonic().read() - start);
+  }
+
+  private void writeSome(BillBook writer, int times) {
+    for (int i = 0; i < times; i++) {
+      writer.writeNext();
+      time.advance(Duration.ofMillis(10));
+    }
+  }
+
+  private void assertBilled(String id, long micros, BillBasis basis) {
+    assertThat(ledger.bills().get())
+        .extracting(Bill::requestId, Bill::costMicros, Bill::basis)
+        .containsExactly(tuple(id, micros, basis));
+    assertThat(ledger.unsettled().get()).isEmpty();
+  }
+}
