Run entries on the control plane

Cause: the entry polled the configuration alone and knew no peers. Change: RunningEntry starts the control plane; bills, budgets and claims count members through it; load reports go on to placement.

--- a/guavagw-core/src/main/java/org/guavagw/Entry.java
+++ b/guavagw-core/src/main/java/org/guavagw/Entry.java
@@ -36,6 +36,11 @@
     return running.adminPort();
   }
 
+  /** Port for other entries. */
+  public int controlPort() {
+    return running.controlPort();
+  }
+
   /** Newest configuration revision that the entry has in force. */
   public long revision() {
     return running.revision();
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
@@ -13,6 +13,7 @@
 import org.guavagw.internal.budget.BudgetSettings;
 import org.guavagw.internal.budget.SlicedBudgetGate;
 import org.guavagw.internal.config.ConfigSource;
+import org.guavagw.internal.control.ControlPlane;
 import org.guavagw.internal.explain.DecisionLog;
 import org.guavagw.internal.explain.DecisionLogSettings;
 import org.guavagw.internal.lease.LeaseHolder;
@@ -38,11 +39,12 @@
       EntrySettings settings,
       long incarnation,
       Platform platform,
-      ConfigSource configs,
-      IntSupplier members,
+      ControlPlane control,
       ScheduledExecutorService background,
       Clocks clocks,
       Closer closer) {
+    ConfigSource configs = control.configs();
+    IntSupplier members = () -> Math.max(1, control.membership().members().size());
     DecisionLog decisions =
         closer.register(
             new DecisionLog(
@@ -84,7 +86,7 @@
         new TableOnceRegistry(
             platform.table(),
             platform.objects(),
-            entry -> false,
+            entry -> control.membership().member(entry).isEmpty(),
             OnceSettings.standard(),
             clocks.wall());
     return new DurableParts(bills, budgets, once, leases, decisions);
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -2,16 +2,19 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.google.common.flogger.FluentLogger;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import io.jooby.Jooby;
+import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
 import org.guavagw.EntrySettings;
 import org.guavagw.internal.config.ConfigHolder;
 import org.guavagw.internal.config.TableConfigHistory;
+import org.guavagw.internal.control.ControlPlane;
+import org.guavagw.internal.control.ControlSettings;
 import org.guavagw.internal.explain.RequestIds;
 import org.guavagw.internal.http.CallerApi;
 import org.guavagw.internal.http.HealthApi;
@@ -20,10 +23,15 @@
 import org.guavagw.internal.http.ServiceApi;
 import org.guavagw.internal.lifecycle.Closer;
 import org.guavagw.internal.lifecycle.InFlight;
+import org.guavagw.internal.load.HttpLoadSource;
+import org.guavagw.internal.membership.GossipSettings;
+import org.guavagw.internal.peer.PeerMessageRegistry;
+import org.guavagw.internal.peer.PeerSettings;
 import org.guavagw.internal.permit.EntryLocalPermits;
 import org.guavagw.internal.session.LocalSessionPins;
 import org.guavagw.internal.time.Clocks;
 import org.guavagw.platform.Platform;
+import org.guavagw.platform.Vm;
 
 /**
  * The parts of one entry, joined and running.
@@ -31,38 +39,48 @@
  * <p>Control state changes on one thread; requests run on worker threads. Thread-safe.
  */
 public final class RunningEntry implements AutoCloseable {
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long CONFIG_POLL_MS = 500;
   private static final int BACKGROUND_THREADS = 4;
+  private static final Duration POLL_TIMEOUT = Duration.ofSeconds(2);
 
   private final EntrySettings settings;
   private final Closer closer = new Closer();
   private final Clocks clocks = Clocks.system();
   private final ObjectMapper json = new ObjectMapper();
-  private final ConfigHolder configs = new ConfigHolder();
   private final InFlight inFlight = new InFlight();
-  private final TableConfigHistory history;
+  private final ControlPlane control;
+  private final ConfigHolder configs;
   private final DurableParts durable;
   private final HttpServer callers;
   private volatile boolean leaving;
 
   private RunningEntry(EntrySettings settings, Platform platform) {
     this.settings = settings;
-    this.history = new TableConfigHistory(platform.table(), clocks.wall());
+    MetricRegistry metrics = new MetricRegistry();
     ScheduledExecutorService background = startThreads("background", BACKGROUND_THREADS);
-    ScheduledExecutorService control = startThreads("control", 1);
     long incarnation = clocks.wall().millis();
+    TableConfigHistory history = new TableConfigHistory(platform.table(), clocks.wall());
+    OkHttpClient polls = new OkHttpClient.Builder().callTimeout(POLL_TIMEOUT).build();
+    closer.register(() -> polls.dispatcher().executorService().shutdown());
+    this.control =
+        closer.register(
+            new ControlPlane(
+                controlSettings(incarnation),
+                platform.vms(),
+                history,
+                new HttpLoadSource(polls),
+                (server, events) -> {},
+                new PeerMessageRegistry(),
+                metrics));
+    this.configs = control.configs();
     this.durable =
-        DurableParts.start(
-            settings, incarnation, platform, configs, () -> 1, background, clocks, closer);
+        DurableParts.start(settings, incarnation, platform, control, background, clocks, closer);
     TrafficParts.Collaborators others =
         new TrafficParts.Collaborators(
-            new MetricRegistry(),
-            new EntryLocalPermits(configs),
-            new LocalSessionPins(),
-            outcome -> {});
+            metrics, new EntryLocalPermits(configs), new LocalSessionPins(), outcome -> {});
     TrafficParts traffic =
         TrafficParts.create(settings, platform, configs, durable, others, json, clocks, closer);
+    closer.register(
+        LoadReportFeed.start(control.loads(), configs, traffic.views(), background, clocks));
     RequestIds ids = new RequestIds(settings.entryId(), clocks.wall());
     this.callers =
         closer.register(
@@ -71,9 +89,7 @@
                 settings.host(),
                 settings.callerPort(),
                 settings.workerThreads()));
-    ScheduledFuture<?> polling =
-        control.scheduleWithFixedDelay(this::pollConfig, 0, CONFIG_POLL_MS, TimeUnit.MILLISECONDS);
-    closer.register(() -> polling.cancel(false));
+    control.start();
   }
 
   /** Starts an entry. */
@@ -91,6 +107,11 @@
     return 0;
   }
 
+  /** Port for other entries. */
+  public int controlPort() {
+    return control.network().port();
+  }
+
   /** Newest revision in force. */
   public long revision() {
     return configs.current().revision();
@@ -109,6 +130,7 @@
       inFlight.close();
       boolean ended = inFlight.awaitNone(settings.shutdownLimit());
       boolean written = durable.bills().flush(settings.shutdownLimit());
+      control.membership().leave();
       return ended && written;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -124,6 +146,19 @@
     closer.close();
   }
 
+  private ControlSettings controlSettings(long incarnation) {
+    Vm self =
+        new Vm(
+            settings.entryId(),
+            settings.dataCentre(),
+            settings.host(),
+            settings.controlPort(),
+            false);
+    PeerSettings peers =
+        PeerSettings.of(settings.host(), settings.controlPort(), settings.peerSecret());
+    return new ControlSettings(self, incarnation, peers, GossipSettings.DEFAULT, List.of());
+  }
+
   private void installCallerApis(Jooby app, RequestIds ids, TrafficParts traffic) {
     new CallerApi(json, ids, clocks, inFlight, traffic.chat()).install(app);
     new ServiceApi(json, ids, clocks, inFlight, traffic.service()).install(app);
@@ -142,11 +177,4 @@
     closer.register(threads::shutdownNow);
     return threads;
   }
-
-  private void pollConfig() {
-    history
-        .latestFrom(configs.current())
-        .peek(configs::adopt)
-        .peekLeft(f -> logger.atWarning().log("configuration not read: %s", f));
-  }
 }
