Add plain service, faulty platform and shared faults

Cause: at-most-once, outages and lost answers need counterparts that fail on request. Conclusion: each fault is a fate of a call, so every stand-in fails alike.

--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/ContinuousBatch.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/ContinuousBatch.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.UUID;
 import org.guavagw.config.VersionRef;
+import org.guavagw.standins.fault.LaggedValue;
 
 /**
  * The slots and the waiting queue of an engine, its loaded versions and whether it is cold. At most
@@ -19,7 +20,7 @@
 final class ContinuousBatch {
   private final EngineSettings settings;
   private final Ticker ticker;
-  private final LoadHistory history;
+  private final LaggedValue<LoadReport> history;
   private final Set<VersionRef> versions;
   private final Set<String> adapters = new LinkedHashSet<>();
   private final PriorityQueue<Waiting> waiting =
@@ -40,9 +41,9 @@
   ContinuousBatch(EngineSettings settings, Ticker ticker) {
     this.settings = settings;
     this.ticker = ticker;
-    this.history = new LoadHistory(ticker, settings.loadLag());
     this.versions = new LinkedHashSet<>(settings.versions());
-    turnCold();
+    boot();
+    this.history = new LaggedValue<>(ticker, settings.loadLag(), current());
   }
 
   Optional<EngineRefusal> admit(Job job) {
@@ -88,9 +89,7 @@
   }
 
   synchronized void turnCold() {
-    bootId = UUID.randomUUID().toString();
-    bootedAt = ticker.read();
-    finishedSinceBoot = 0;
+    boot();
     changed();
   }
 
@@ -157,7 +156,7 @@
 
   synchronized LoadReport shown() {
     changed();
-    return history.shown();
+    return history.get();
   }
 
   private Optional<EngineRefusal> refusalOf(Job job) {
@@ -193,8 +192,14 @@
     return finishedSinceBoot < c.requests() || ticker.read() - bootedAt < c.time().toNanos();
   }
 
+  private void boot() {
+    bootId = UUID.randomUUID().toString();
+    bootedAt = ticker.read();
+    finishedSinceBoot = 0;
+  }
+
   private void changed() {
-    history.add(current());
+    history.set(current());
   }
 
   /** A request that wants a slot. Implementations are thread-safe. */
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineFaults.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineFaults.java
@@ -3,13 +3,11 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Queue;
-import java.util.concurrent.ConcurrentLinkedQueue;
+import org.guavagw.standins.fault.FaultQueue;
 
 /** Scripted faults of one engine, which can be set while it runs. Thread-safe. */
 public final class EngineFaults {
-  private final Queue<StreamFault> next = new ConcurrentLinkedQueue<>();
-  private volatile Optional<StreamFault> standing = Optional.empty();
+  private final FaultQueue<StreamFault> streams = new FaultQueue<>();
   private volatile boolean refusing;
   private volatile boolean failing;
   private volatile double slowdown = 1;
@@ -18,12 +16,12 @@
 
   /** Hits the next request that starts to run, once. */
   public void hitNext(StreamFault fault) {
-    next.add(fault);
+    streams.hitNext(fault);
   }
 
   /** Hits each request that starts to run from now on. */
   public void hitAll(StreamFault fault) {
-    standing = Optional.of(fault);
+    streams.hitAll(fault);
   }
 
   /** Refuses all requests and says that they were not run. */
@@ -53,8 +51,7 @@
 
   /** Takes back everything but faults of requests that run already. */
   public void clear() {
-    next.clear();
-    standing = Optional.empty();
+    streams.clear();
     refusing = false;
     failing = false;
     slowdown = 1;
@@ -63,8 +60,7 @@
   }
 
   Optional<StreamFault> take() {
-    StreamFault fault = next.poll();
-    return fault == null ? standing : Optional.of(fault);
+    return streams.take();
   }
 
   boolean refusing() {
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineRefusal.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineRefusal.java
@@ -1,6 +1,8 @@
 package org.guavagw.standins.engine;
 
+import io.jooby.Context;
 import java.util.Locale;
+import org.guavagw.standins.http.JsonResponses;
 
 /** Why an engine did not run a request; it says so with each of these. */
 enum EngineRefusal {
@@ -18,8 +20,10 @@
     this.status = status;
   }
 
-  int status() {
-    return status;
+  /** Refuses a request that nothing was answered to yet. */
+  Context send(Context ctx) {
+    ctx.setResponseHeader("X-Not-Run", "true");
+    return JsonResponses.send(ctx, status, ErrorBody.of(code()));
   }
 
   String code() {
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineStandIn.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineStandIn.java
@@ -8,6 +8,7 @@
 import io.netty.channel.Channel;
 import java.io.IOException;
 import org.guavagw.standins.http.Connections;
+import org.guavagw.standins.http.JsonResponses;
 import org.guavagw.standins.http.LoopbackServer;
 import org.guavagw.standins.http.NettyChannels;
 
@@ -122,7 +123,7 @@
   private void routes(Jooby app) {
     app.post("/v1/chat/completions", this::complete);
     app.delete("/v1/requests/{id}", this::cancel);
-    app.get("/load", ctx -> Responses.json(ctx, 200, engine.batch().shown()));
+    app.get("/load", ctx -> JsonResponses.send(ctx, 200, engine.batch().shown()));
     app.get("/cache-events", this::cacheEvents);
     app.post("/orders", this::order);
   }
@@ -138,7 +139,7 @@
       request = GenerationRequest.read(ctx);
     } catch (IllegalArgumentException e) {
       ctx.setResponseHeader("X-Not-Run", "true");
-      return Responses.json(ctx, 400, ErrorBody.of("invalid_request"));
+      return JsonResponses.send(ctx, 400, ErrorBody.of("invalid_request"));
     }
     return new Generation(engine, request, ctx).submit();
   }
@@ -151,7 +152,7 @@
 
   private Context cacheEvents(Context ctx) {
     long after = ctx.query("after").longValue(0);
-    return Responses.json(ctx, 200, cacheEvents.after(after));
+    return JsonResponses.send(ctx, 200, cacheEvents.after(after));
   }
 
   private Context order(Context ctx) throws IOException {
@@ -159,11 +160,11 @@
     try {
       order = Order.read(JSON.readTree(ctx.body().bytes()));
     } catch (IllegalArgumentException e) {
-      return Responses.json(ctx, 400, ErrorBody.of("invalid_order"));
+      return JsonResponses.send(ctx, 400, ErrorBody.of("invalid_order"));
     }
     if (!orders.take(order)) {
-      return Responses.json(ctx, 409, ErrorBody.of("old_fencing"));
+      return JsonResponses.send(ctx, 409, ErrorBody.of("old_fencing"));
     }
-    return Responses.json(ctx, 200, order);
+    return JsonResponses.send(ctx, 200, order);
   }
 }
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/FailedAnswer.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/FailedAnswer.java
@@ -1,6 +1,7 @@
 package org.guavagw.standins.engine;
 
 import io.jooby.Context;
+import org.guavagw.standins.http.JsonResponses;
 
 /** An error after a whole run that does not say whether the request ran. Stateless. */
 record FailedAnswer(Context ctx) implements AnswerWriter {
@@ -18,7 +19,7 @@
 
   @Override
   public void cut() {
-    Responses.json(ctx, INTERNAL_ERROR, ErrorBody.of("internal_error"));
+    JsonResponses.send(ctx, INTERNAL_ERROR, ErrorBody.of("internal_error"));
   }
 
   @Override
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
@@ -60,7 +60,7 @@
     Optional<EngineRefusal> refusal = admit();
     showState();
     if (refusal.isPresent()) {
-      return Responses.refuse(ctx, refusal.get());
+      return refusal.get().send(ctx);
     }
     fault = engine.faults().take();
     writer = newWriter();
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/StreamedAnswer.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/StreamedAnswer.java
@@ -4,6 +4,7 @@
 import io.jooby.Sender;
 import java.nio.charset.StandardCharsets;
 import java.time.Instant;
+import org.guavagw.standins.http.JsonResponses;
 
 /** An answer as server-sent events, one chunk per token. Confined to one event loop. */
 final class StreamedAnswer implements AnswerWriter {
@@ -71,13 +72,16 @@
 
   @Override
   public void refuse(EngineRefusal refusal) {
-    pending.append("data: ").append(Responses.text(ErrorBody.of(refusal.code()))).append("\n\n");
+    pending
+        .append("data: ")
+        .append(JsonResponses.text(ErrorBody.of(refusal.code())))
+        .append("\n\n");
     cut();
   }
 
   private void event(int eventId, ChatCompletion chunk) {
     lastId = eventId;
     pending.append("id: ").append(eventId).append('\n');
-    pending.append("data: ").append(Responses.text(chunk)).append("\n\n");
+    pending.append("data: ").append(JsonResponses.text(chunk)).append("\n\n");
   }
 }
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/WholeAnswer.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/WholeAnswer.java
@@ -2,6 +2,7 @@
 
 import io.jooby.Context;
 import java.time.Instant;
+import org.guavagw.standins.http.JsonResponses;
 
 /** An answer as one JSON document. Confined to one event loop. */
 final class WholeAnswer implements AnswerWriter {
@@ -24,16 +25,16 @@
   @Override
   public void finish(Usage usage) {
     long created = Instant.now().getEpochSecond();
-    Responses.json(ctx, 200, ChatCompletion.whole(id, created, model, text.toString(), usage));
+    JsonResponses.send(ctx, 200, ChatCompletion.whole(id, created, model, text.toString(), usage));
   }
 
   @Override
   public void cut() {
-    Responses.json(ctx, 500, ErrorBody.of("cancelled"));
+    JsonResponses.send(ctx, 500, ErrorBody.of("cancelled"));
   }
 
   @Override
   public void refuse(EngineRefusal refusal) {
-    Responses.refuse(ctx, refusal);
+    refusal.send(ctx);
   }
 }
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/fault/FaultRates.java
@@ -0,0 +1,20 @@
+package org.guavagw.standins.fault;
+
+/** Shares of calls, from 0 to 1, that meet each fate. Immutable. */
+public record FaultRates(double refused, double requestLost, double answerLost) {
+  /** No faults. */
+  public static final FaultRates NONE = new FaultRates(0, 0, 0);
+
+  CallFate pick(double draw) {
+    if (draw < refused) {
+      return CallFate.REFUSED;
+    }
+    if (draw < refused + requestLost) {
+      return CallFate.REQUEST_LOST;
+    }
+    if (draw < refused + requestLost + answerLost) {
+      return CallFate.ANSWER_LOST;
+    }
+    return CallFate.ANSWERED;
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/fault/package-info.java
@@ -0,0 +1,2 @@
+/** Faults that the stand-ins share: calls that fail, answers that get lost, values that lag. */
+package org.guavagw.standins.fault;
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/Responses.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/http/JsonResponses.java
@@ -1,21 +1,21 @@
-package org.guavagw.standins.engine;
+package org.guavagw.standins.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.jooby.Context;
-import org.guavagw.standins.http.NettyChannels;
 
 /**
  * Writes JSON answers. Jooby flushes only at the end of a read, so that answers which come later
  * are flushed here. Stateless.
  */
-final class Responses {
+public final class JsonResponses {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String JSON_TYPE = "application/json";
 
-  private Responses() {}
+  private JsonResponses() {}
 
-  static String text(Object body) {
+  /** A body as JSON text. */
+  public static String text(Object body) {
     try {
       return JSON.writeValueAsString(body);
     } catch (JsonProcessingException e) {
@@ -23,14 +23,15 @@
     }
   }
 
-  static Context json(Context ctx, int status, Object body) {
-    ctx.setResponseCode(status).setResponseType(JSON_TYPE).send(text(body));
-    NettyChannels.of(ctx).flush();
-    return ctx;
+  /** Answers a request; on its event loop. */
+  public static Context send(Context ctx, int status, Object body) {
+    return sendText(ctx, status, JSON_TYPE, text(body));
   }
 
-  static Context refuse(Context ctx, EngineRefusal refusal) {
-    ctx.setResponseHeader("X-Not-Run", "true");
-    return json(ctx, refusal.status(), ErrorBody.of(refusal.code()));
+  /** Answers a request with text of a type; on its event loop. */
+  public static Context sendText(Context ctx, int status, String type, String body) {
+    ctx.setResponseCode(status).setResponseType(type).send(body);
+    NettyChannels.of(ctx).flush();
+    return ctx;
   }
 }
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/platform/LaggingVmList.java
@@ -0,0 +1,38 @@
+package org.guavagw.standins.platform;
+
+import com.google.common.base.Ticker;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.List;
+import org.guavagw.platform.PlatformFailure;
+import org.guavagw.platform.Vm;
+import org.guavagw.platform.VmList;
+import org.guavagw.standins.fault.CallFaults;
+import org.guavagw.standins.fault.LaggedValue;
+
+/** A settable list of VMs that is shown as it was a lag ago. Thread-safe. */
+public final class LaggingVmList implements VmList {
+  private final LaggedValue<List<Vm>> vms;
+  private final CallFaults faults;
+
+  /** Starts with a list that is shown at once. */
+  public LaggingVmList(Ticker ticker, Duration lag, List<Vm> first) {
+    this.vms = new LaggedValue<>(ticker, lag, List.copyOf(first));
+    this.faults = new CallFaults(0);
+  }
+
+  /** Changes the list. */
+  public void set(List<Vm> now) {
+    vms.set(List.copyOf(now));
+  }
+
+  /** Faults that can be set. */
+  public CallFaults faults() {
+    return faults;
+  }
+
+  @Override
+  public Either<PlatformFailure, List<Vm>> vms() {
+    return faults.call(() -> Either.right(vms.get()));
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/service/PlainServiceStandIn.java
@@ -0,0 +1,139 @@
+package org.guavagw.standins.service;
+
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.jooby.Router;
+import io.netty.channel.Channel;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.guavagw.standins.fault.FaultQueue;
+import org.guavagw.standins.http.Connections;
+import org.guavagw.standins.http.JsonResponses;
+import org.guavagw.standins.http.LoopbackServer;
+import org.guavagw.standins.http.NettyChannels;
+
+/**
+ * A plain service on a loopback port that executes every call of any method and path, records it
+ * and answers with what it received. It never deduplicates. Thread-safe.
+ */
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class PlainServiceStandIn implements AutoCloseable {
+  private static final int UNAVAILABLE = 503;
+  private static final int INTERNAL_ERROR = 500;
+
+  private final String name;
+  private final ServiceCallLog log;
+  private final FaultQueue<ServiceFault> faults = new FaultQueue<>();
+  private final Connections connections = new Connections();
+  private final LoopbackServer server;
+  private volatile Duration delay = Duration.ZERO;
+
+  /** Starts a service. */
+  public PlainServiceStandIn(String name, ServiceCallLog log) {
+    this.name = name;
+    this.log = log;
+    this.server = new LoopbackServer(ExecutionMode.EVENT_LOOP, 1, this::routes);
+  }
+
+  /** The port. */
+  public int port() {
+    return server.port();
+  }
+
+  /** Faults that can be set. */
+  public FaultQueue<ServiceFault> faults() {
+    return faults;
+  }
+
+  /** Holds back each answer behind its execution. */
+  public void slow(Duration by) {
+    delay = by;
+  }
+
+  /** Silences all open connections for good, while new ones work. */
+  public void silenceOpenConnections() {
+    connections.silence();
+  }
+
+  /** Closes the listener and all connections. */
+  public void die() {
+    connections.reset();
+    server.close();
+  }
+
+  /** Starts again on the same port. */
+  public void revive() {
+    server.start();
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private void routes(Jooby app) {
+    Router.METHODS.forEach(m -> app.route(m, "/*", this::serve));
+  }
+
+  private Context serve(Context ctx) {
+    Channel channel = NettyChannels.of(ctx);
+    if (connections.isSilent(channel)) {
+      return ctx;
+    }
+    connections.add(channel);
+    Optional<ServiceFault> fault = faults.take();
+    if (fault.filter(ServiceFault.REFUSE::equals).isPresent()) {
+      ctx.setResponseHeader("X-Not-Run", "true");
+      return JsonResponses.send(ctx, UNAVAILABLE, echo(ctx));
+    }
+    if (fault.filter(ServiceFault.RESET_BEFORE_RUN::equals).isPresent()) {
+      NettyChannels.reset(channel);
+      return ctx;
+    }
+    execute(ctx);
+    answerLater(ctx, channel, fault);
+    return ctx;
+  }
+
+  private void execute(Context ctx) {
+    log.add(
+        new ServiceCall(
+            name,
+            ctx.getMethod(),
+            ctx.getRequestPath(),
+            ctx.header("X-Request-Id").toOptional(),
+            ctx.header("Idempotency-Key").toOptional(),
+            Instant.now()));
+  }
+
+  private void answerLater(Context ctx, Channel channel, Optional<ServiceFault> fault) {
+    Echo echo = echo(ctx);
+    channel
+        .eventLoop()
+        .schedule(() -> answer(ctx, channel, echo, fault), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private void answer(Context ctx, Channel channel, Echo echo, Optional<ServiceFault> fault) {
+    if (fault.filter(ServiceFault.SILENCE_AFTER_RUN::equals).isPresent()) {
+      connections.silence(channel);
+    }
+    if (connections.isSilent(channel)) {
+      return;
+    }
+    if (fault.filter(ServiceFault.RESET_AFTER_RUN::equals).isPresent()) {
+      NettyChannels.reset(channel);
+      return;
+    }
+    boolean failed = fault.filter(ServiceFault.FAIL_AFTER_RUN::equals).isPresent();
+    JsonResponses.send(ctx, failed ? INTERNAL_ERROR : 200, echo);
+  }
+
+  private Echo echo(Context ctx) {
+    String body = new String(ctx.body().bytes(), StandardCharsets.UTF_8);
+    return new Echo(name, ctx.getMethod(), ctx.getRequestPath(), ctx.headerMap(), body);
+  }
+}
--- a/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineControlTest.java
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineControlTest.java
@@ -37,15 +37,15 @@
   @Test
   void shouldShowLoadAsItWasALagAgo() {
     AtomicLong now = new AtomicLong();
-    LoadHistory history = new LoadHistory(ticker(now), Duration.ofNanos(10));
-    history.add(report(1));
+    EngineSettings late = SETTINGS.withLoadLag(Duration.ofNanos(10));
+    ContinuousBatch batch = new ContinuousBatch(late, ticker(now));
     now.set(5);
-    history.add(report(2));
+    batch.admit(new RecordedJob("1a", new ArrayList<>(), new ArrayList<>()));
 
     now.set(14);
-    assertThat(history.shown().running()).isEqualTo(1);
+    assertThat(batch.shown().running()).isZero();
     now.set(15);
-    assertThat(history.shown().running()).isEqualTo(2);
+    assertThat(batch.shown().running()).isEqualTo(1);
   }
 
   @Test
@@ -115,10 +115,6 @@
     };
   }
 
-  private static LoadReport report(int running) {
-    return new LoadReport("b", "warm", running, 0, 4, List.of(), List.of(), "both");
-  }
-
   /** A job that notes when it starts; its first character is its priority. */
   private record RecordedJob(String name, List<String> order, List<ContinuousBatch.Start> starts)
       implements ContinuousBatch.Job {
