--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/LocalDeployment.java
@@ -0,0 +1,217 @@
+package org.guavagw.cli.local;
+
+import com.google.common.base.Ticker;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import org.guavagw.Entry;
+import org.guavagw.EntrySettings;
+import org.guavagw.config.BackendServerConfig;
+import org.guavagw.config.GatewayConfig;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.config.ConfigChange;
+import org.guavagw.internal.config.TableConfigHistory;
+import org.guavagw.internal.lifecycle.Closer;
+import org.guavagw.platform.Platform;
+import org.guavagw.platform.Vm;
+import org.guavagw.standins.engine.EngineSettings;
+import org.guavagw.standins.engine.EngineStandIn;
+import org.guavagw.standins.engine.ExecutionLog;
+import org.guavagw.standins.engine.QualityModel;
+import org.guavagw.standins.platform.FaultyObjectStore;
+import org.guavagw.standins.platform.InMemoryObjectStore;
+import org.guavagw.standins.platform.LaggingVmList;
+import org.guavagw.standins.platform.RateLimitedWeightStore;
+import org.guavagw.standins.platform.RatingStandIn;
+import org.guavagw.standins.service.PlainServiceStandIn;
+import org.guavagw.standins.service.ServiceCallLog;
+import org.guavagw.standins.table.FaultyTableService;
+import org.guavagw.standins.table.InMemoryTableService;
+
+/**
+ * Entries and stand-ins of a whole deployment in one process, over loopback TCP. Thread-safe.
+ *
+ * <p>The closer owns the stand-ins; entries may be replaced one by one.
+ */
+public final class LocalDeployment implements AutoCloseable {
+  private static final String HOST = "127.0.0.1";
+  private static final String SECRET = "local-secret";
+  private static final int COLD_SLOTS = 2;
+  private static final Duration VM_LIST_LAG = Duration.ofMillis(500);
+  private static final Duration BALANCER_LAG = Duration.ofMillis(300);
+  private static final Duration SHUTDOWN_LIMIT = Duration.ofSeconds(30);
+  private static final int WORKER_THREADS = 128;
+
+  private final Closer closer = new Closer();
+  private final DeploymentPlan plan;
+  private final ExecutionLog executions = new ExecutionLog();
+  private final ServiceCallLog calls = new ServiceCallLog();
+  private final Map<String, EngineStandIn> engines = new TreeMap<>();
+  private final Map<String, PlainServiceStandIn> ledgers = new TreeMap<>();
+  private final List<BackendServerConfig> servers = new ArrayList<>();
+  private final List<RunningMember> entries = new CopyOnWriteArrayList<>();
+  private final FaultyTableService table;
+  private final LaggingVmList vms;
+  private final RatingStandIn ratings;
+  private final Platform platform;
+  private final TableConfigHistory history;
+
+  /** An entry and the VM that it runs on; immutable. */
+  public record RunningMember(Vm vm, Entry entry) {}
+
+  /** Starts stand-ins, applies the plan's configuration and starts the entries. */
+  public LocalDeployment(DeploymentPlan plan, QualityModel quality, long seed) {
+    this.plan = plan;
+    this.table = new FaultyTableService(new InMemoryTableService(), seed);
+    this.vms = new LaggingVmList(Ticker.systemTicker(), VM_LIST_LAG, List.of());
+    this.ratings = new RatingStandIn(0.02, seed);
+    this.platform =
+        new Platform(
+            table,
+            new FaultyObjectStore(new InMemoryObjectStore(), seed),
+            vms,
+            ratings,
+            new RateLimitedWeightStore(Ticker.systemTicker(), 10, Duration.ofMinutes(1)));
+    this.history = new TableConfigHistory(table, InstantSource.system());
+    plan.dataCentres().forEach(d -> startServers(d, quality));
+    apply("initial", DeploymentConfig.of(plan, servers));
+    plan.dataCentres().forEach(this::startEntries);
+  }
+
+  /** The plan that runs. */
+  public DeploymentPlan plan() {
+    return plan;
+  }
+
+  /** Entries that run now. */
+  public List<RunningMember> entries() {
+    return List.copyOf(entries);
+  }
+
+  /** Model engines by id of their backend server. */
+  public Map<String, EngineStandIn> engines() {
+    return engines;
+  }
+
+  /** Plain services by id of their backend server. */
+  public Map<String, PlainServiceStandIn> ledgers() {
+    return ledgers;
+  }
+
+  /** What the model engines ran. */
+  public ExecutionLog executions() {
+    return executions;
+  }
+
+  /** What the plain services ran. */
+  public ServiceCallLog calls() {
+    return calls;
+  }
+
+  /** The table service with its faults. */
+  public FaultyTableService table() {
+    return table;
+  }
+
+  /** The rating service with its faults. */
+  public RatingStandIn ratings() {
+    return ratings;
+  }
+
+  /** The history that operators apply changes to. */
+  public TableConfigHistory history() {
+    return history;
+  }
+
+  /** Accepts a configuration and gives its revision. */
+  public long apply(String changeId, GatewayConfig config) {
+    long expected = history.latest().get().revision();
+    return history
+        .apply(new ConfigChange(changeId, "local", changeId, expected, config))
+        .get()
+        .revision();
+  }
+
+  /** Starts one more entry in a data centre. */
+  public RunningMember startEntry(String id, String dataCentre) {
+    EntrySettings settings =
+        EntrySettings.builder(id, dataCentre)
+            .peerSecret(SECRET)
+            .workerThreads(WORKER_THREADS)
+            .balancerLag(BALANCER_LAG)
+            .shutdownLimit(SHUTDOWN_LIMIT)
+            .build();
+    Entry entry = Entry.start(settings, platform);
+    RunningMember member =
+        new RunningMember(new Vm(id, dataCentre, HOST, entry.controlPort(), false), entry);
+    entries.add(member);
+    publishVms();
+    return member;
+  }
+
+  /** Takes an entry off the VM list and out of the balancer's sight. */
+  public void forget(RunningMember member) {
+    entries.remove(member);
+    publishVms();
+  }
+
+  /** Waits until all entries are ready, and says whether that came about in time. */
+  public boolean awaitReady(Duration limit) throws InterruptedException {
+    long deadline = System.nanoTime() + limit.toNanos();
+    while (System.nanoTime() < deadline) {
+      if (entries.stream().allMatch(m -> m.entry().isReady())) {
+        return true;
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    return false;
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(m -> m.entry().close());
+    closer.close();
+  }
+
+  private void startEntries(DeploymentPlan.DataCentrePlan centre) {
+    for (int i = 0; i < centre.entries(); i++) {
+      startEntry("entry-" + centre.id() + "-" + i, centre.id());
+    }
+  }
+
+  private void startServers(DeploymentPlan.DataCentrePlan centre, QualityModel quality) {
+    for (int i = 0; i < centre.engines(); i++) {
+      startEngine("engine-" + centre.id() + "-" + i, centre.id(), quality);
+    }
+    for (int i = 0; i < centre.ledgers(); i++) {
+      String id = "ledger-" + centre.id() + "-" + i;
+      PlainServiceStandIn service = closer.register(new PlainServiceStandIn(id, calls));
+      ledgers.put(id, service);
+      servers.add(server(id, centre.id(), service.port(), List.of()));
+    }
+  }
+
+  private void startEngine(String id, String dataCentre, QualityModel quality) {
+    VersionRef[] versions = DeploymentConfig.versions().toArray(VersionRef[]::new);
+    EngineStandIn engine =
+        closer.register(new EngineStandIn(EngineSettings.of(id, versions), executions, quality));
+    engines.put(id, engine);
+    servers.add(server(id, dataCentre, engine.port(), DeploymentConfig.versions()));
+  }
+
+  private static BackendServerConfig server(
+      String id, String dataCentre, int port, List<VersionRef> versions) {
+    int slots = EngineSettings.of(id).batch().slots();
+    return new BackendServerConfig(
+        id, dataCentre, HOST, port, versions, slots, COLD_SLOTS, true, true, false);
+  }
+
+  private void publishVms() {
+    vms.set(entries.stream().map(RunningMember::vm).toList());
+  }
+}
