Start the HTTP server itself and not only its application

Cause: no caller reached an entry: Jooby.start(server) only fires the application's start; the port was never bound. Ruled out: settings and routes. Change: the Netty server starts the application.

--- a/guavagw-core/src/main/java/org/guavagw/internal/http/HttpServer.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/http/HttpServer.java
@@ -2,19 +2,24 @@
 
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
+import io.jooby.Server;
 import io.jooby.ServerOptions;
 import io.jooby.netty.NettyServer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.util.function.Consumer;
 
 /** Runs HTTP routes on a port, each request on a worker thread. Thread-safe. */
 public final class HttpServer implements AutoCloseable {
   private static final int MAX_BODY_BYTES = 4 << 20;
 
-  private final Jooby app;
+  private final Server server;
   private final int port;
 
-  private HttpServer(Jooby app, int port) {
-    this.app = app;
+  private HttpServer(Server server, int port) {
+    this.server = server;
     this.port = port;
   }
 
@@ -23,13 +28,13 @@
     ServerOptions options = new ServerOptions();
     options.setHost(host);
     options
-        .setPort(port)
+        .setPort(port == 0 ? freePort(host) : port)
         .setMaxRequestSize(MAX_BODY_BYTES)
         .setWorkerThreads(workerThreads)
         .setDefaultHeaders(false);
     Jooby app = Jooby.createApp(new String[0], ExecutionMode.WORKER, () -> withRoutes(routes));
-    app.start(new NettyServer().setOptions(options));
-    return new HttpServer(app, options.getPort());
+    Server server = new NettyServer().setOptions(options).start(app);
+    return new HttpServer(server, options.getPort());
   }
 
   /** The port that accepts connections. */
@@ -39,7 +44,15 @@
 
   @Override
   public void close() {
-    app.stop();
+    server.stop();
+  }
+
+  private static int freePort(String host) {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+      return socket.getLocalPort();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   private static Jooby withRoutes(Consumer<Jooby> routes) {
