Add HTTP clients of the platform and their counterpart

Cause: the platform is reached over HTTP; what a failed call may have done decides on retries. Change: HttpPlatform (DynamoDB JSON, S3 REST, small JSON) and PlatformStandIn in front of any implementation, with faults on the wire. A network interceptor notes whether bytes may have left: without, a failure is NOT_APPLIED, with it UNKNOWN; 4xx is NOT_APPLIED, other failures UNKNOWN. One fault found on the way: a 400 without a readable body was reported as UNKNOWN.

--- /dev/null
+++ b/guavagw-platform/src/main/java/org/guavagw/platform/internal/http/HttpCaller.java
@@ -0,0 +1,98 @@
+package org.guavagw.platform.internal.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.guavagw.platform.PlatformFailure;
+
+/**
+ * Makes one HTTP call at a time per thread and says what a failed one may have done:
+ *
+ * <ul>
+ *   <li>no connection (refused, unreachable, unknown host, time-out while connecting): not applied;
+ *   <li>any failure once the request may have left this process (reset, read or write time-out,
+ *       reply cut short): unknown;
+ *   <li>status 4xx: not applied; any other status that is no success, 5xx included: unknown.
+ * </ul>
+ *
+ * <p>Never sends a request twice. Thread-safe.
+ */
+public final class HttpCaller {
+  private static final MediaType JSON_TYPE = MediaType.get("application/json");
+
+  private final OkHttpClient client;
+  private final ObjectMapper json =
+      new ObjectMapper().configure(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES, false);
+
+  /** Calls through a client, whose time-outs and interceptors stay as they are. */
+  public HttpCaller(OkHttpClient client) {
+    this.client =
+        client
+            .newBuilder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .addNetworkInterceptor(SendTracker::mark)
+            .build();
+  }
+
+  /** The reply, whatever its status. */
+  Either<PlatformFailure, HttpReply> call(Request.Builder request) {
+    SendTracker tracker = new SendTracker();
+    Request tracked = request.tag(SendTracker.class, tracker).build();
+    try (Response response = client.newCall(tracked).execute()) {
+      return Either.right(new HttpReply(response.code(), response.body().bytes()));
+    } catch (IOException e) {
+      return Either.left(failure(tracker, e));
+    }
+  }
+
+  /** The reply if its status is a success. */
+  Either<PlatformFailure, HttpReply> callForSuccess(Request.Builder request) {
+    return call(request).flatMap(r -> r.successful() ? Either.right(r) : Either.left(refusal(r)));
+  }
+
+  /** The body of a successful reply, read as JSON. */
+  <T> Either<PlatformFailure, T> callForJson(Request.Builder request, Class<T> type) {
+    return callForSuccess(request).flatMap(r -> read(r, type));
+  }
+
+  <T> Either<PlatformFailure, T> read(HttpReply reply, Class<T> type) {
+    try {
+      return Either.right(json.readValue(reply.body(), type));
+    } catch (IOException e) {
+      return Either.left(PlatformFailure.unknown("unreadable reply: " + e.getMessage()));
+    }
+  }
+
+  RequestBody jsonBody(Object body) {
+    return jsonBody(body, JSON_TYPE);
+  }
+
+  RequestBody jsonBody(Object body, MediaType type) {
+    try {
+      return RequestBody.create(json.writeValueAsBytes(body), type);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  static PlatformFailure refusal(HttpReply reply) {
+    String reason = "status " + reply.status();
+    return reply.clientError()
+        ? PlatformFailure.notApplied(reason)
+        : PlatformFailure.unknown(reason);
+  }
+
+  private static PlatformFailure failure(SendTracker tracker, IOException e) {
+    return tracker.sent()
+        ? PlatformFailure.unknown(e.toString())
+        : PlatformFailure.notApplied(e.toString());
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/wire/PlatformStandIn.java
@@ -0,0 +1,200 @@
+package org.guavagw.standins.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jooby.Context;
+import io.jooby.ExecutionMode;
+import io.jooby.Jooby;
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.guavagw.config.VersionRef;
+import org.guavagw.platform.AnswerSample;
+import org.guavagw.platform.Platform;
+import org.guavagw.platform.Vm;
+import org.guavagw.standins.fault.FaultQueue;
+import org.guavagw.standins.http.Connections;
+import org.guavagw.standins.http.LoopbackServer;
+import org.guavagw.standins.http.NettyChannels;
+
+/**
+ * The platform's services on one loopback port: tables in the DynamoDB JSON protocol, objects in
+ * the S3 REST protocol, VM list, ratings and downloads as JSON. Calls that fail behind the wire are
+ * answered with 400 when they certainly had no effect and with 500 else. Thread-safe.
+ */
+public final class PlatformStandIn implements AutoCloseable {
+  private static final int THREADS = 8;
+  private static final int REFUSED = 400;
+  private static final int INTERNAL_ERROR = 500;
+  private static final String BUCKET = "/objects";
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final Platform platform;
+  private final DynamoWire tables;
+  private final S3Wire objects;
+  private final FaultQueue<WireFault> faults = new FaultQueue<>();
+  private final Connections connections = new Connections();
+  private final LoopbackServer server;
+
+  /** Serves the given services. */
+  public PlatformStandIn(Platform platform) {
+    this.platform = platform;
+    this.tables = new DynamoWire(platform.table());
+    this.objects = new S3Wire(platform.objects());
+    this.server = new LoopbackServer(ExecutionMode.WORKER, THREADS, this::routes);
+  }
+
+  /** Faults that can be set, for all services together. */
+  public FaultQueue<WireFault> faults() {
+    return faults;
+  }
+
+  /** Endpoint of the table service. */
+  public URI tableService() {
+    return uri("/");
+  }
+
+  /** Bucket of the object store. */
+  public URI objectStore() {
+    return uri(BUCKET);
+  }
+
+  /** The VM list. */
+  public URI vmList() {
+    return uri("/vms");
+  }
+
+  /** Endpoint of the rating service. */
+  public URI ratingService() {
+    return uri("/ratings");
+  }
+
+  /** Endpoint of the weight store. */
+  public URI weightStore() {
+    return uri("/downloads");
+  }
+
+  /** Silences all open connections for good, while new ones work. */
+  public void silenceOpenConnections() {
+    connections.silence();
+  }
+
+  /** Closes the listener and all connections. */
+  public void die() {
+    connections.reset();
+    server.close();
+  }
+
+  /** Starts again on the same port. */
+  public void revive() {
+    server.start();
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+
+  private URI uri(String path) {
+    return URI.create("http://127.0.0.1:" + server.port() + path);
+  }
+
+  private void routes(Jooby app) {
+    app.post(
+        "/",
+        ctx -> serve(ctx, () -> tables.serve(ctx.header("X-Amz-Target").value(""), body(ctx))));
+    app.get(BUCKET, ctx -> serve(ctx, () -> list(ctx)));
+    app.get(BUCKET + "/*", ctx -> serve(ctx, () -> objects.get(objectName(ctx))));
+    app.put(BUCKET + "/*", ctx -> serve(ctx, () -> objects.put(objectName(ctx), body(ctx))));
+    app.get("/vms", ctx -> serve(ctx, this::vms));
+    app.post("/ratings", ctx -> serve(ctx, () -> rate(json(ctx))));
+    app.post("/downloads", ctx -> serve(ctx, () -> reserve(json(ctx))));
+  }
+
+  private Context serve(Context ctx, Supplier<WireReply> work) {
+    Channel channel = NettyChannels.of(ctx);
+    if (connections.isSilent(channel)) {
+      return ctx;
+    }
+    connections.add(channel);
+    Optional<WireFault> fault = faults.take();
+    if (fault.filter(WireFault::beforeEffect).isPresent()) {
+      return strike(ctx, channel, fault.get(), WireReply.empty(REFUSED));
+    }
+    WireReply reply = work.get();
+    return fault.isPresent() ? strike(ctx, channel, fault.get(), reply) : send(ctx, reply);
+  }
+
+  private Context strike(Context ctx, Channel channel, WireFault fault, WireReply reply) {
+    switch (fault) {
+      case REFUSE -> send(ctx, reply);
+      case FAIL_AFTER_EFFECT -> send(ctx, WireReply.empty(INTERNAL_ERROR));
+      case GARBAGE_AFTER_EFFECT -> send(ctx, WireReply.text(200, reply.type(), "{\"Item"));
+      case RESET_BEFORE_EFFECT, RESET_AFTER_EFFECT -> NettyChannels.reset(channel);
+      default -> connections.silence(channel);
+    }
+    return ctx;
+  }
+
+  private static Context send(Context ctx, WireReply reply) {
+    ctx.setResponseCode(reply.status()).setResponseType(reply.type()).send(reply.body());
+    NettyChannels.of(ctx).flush();
+    return ctx;
+  }
+
+  private WireReply list(Context ctx) {
+    return objects.list(ctx.query("prefix").value(""), ctx.query("continuation-token").value(""));
+  }
+
+  private WireReply vms() {
+    return platform.vms().vms().fold(WireFailures::reply, v -> WireReply.json(200, new VmsBody(v)));
+  }
+
+  private WireReply rate(JsonNode body) {
+    AnswerSample sample =
+        new AnswerSample(
+            body.path("requestId").asText(),
+            body.path("taskClass").asText(),
+            VersionRef.parse(body.path("version").asText()),
+            body.path("question").asText(),
+            body.path("answer").asText());
+    return platform
+        .ratings()
+        .rate(sample)
+        .fold(WireFailures::reply, r -> WireReply.json(200, new RatingBody(r)));
+  }
+
+  private WireReply reserve(JsonNode body) {
+    VersionRef version = VersionRef.parse(body.path("version").asText());
+    return platform
+        .weights()
+        .reserveDownload(version, body.path("backendServer").asText())
+        .fold(WireFailures::reply, r -> WireReply.empty(200));
+  }
+
+  private static String objectName(Context ctx) {
+    return ctx.path("*").value();
+  }
+
+  private static byte[] body(Context ctx) {
+    return ctx.body().bytes();
+  }
+
+  private static JsonNode json(Context ctx) {
+    try {
+      return JSON.readTree(body(ctx));
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** VMs as the platform lists them. */
+  private record VmsBody(List<Vm> vms) {}
+
+  /** A rating. */
+  private record RatingBody(double rating) {}
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/wire/S3Wire.java
@@ -0,0 +1,82 @@
+package org.guavagw.standins.wire;
+
+import java.io.StringWriter;
+import java.util.List;
+import javax.xml.stream.XMLOutputFactory;
+import javax.xml.stream.XMLStreamException;
+import javax.xml.stream.XMLStreamWriter;
+import org.guavagw.platform.ObjectStore;
+
+/** Objects in the S3 REST protocol, one bucket. Thread-safe. */
+final class S3Wire {
+  private static final String XML_TYPE = "application/xml";
+  private static final String BINARY_TYPE = "application/octet-stream";
+  private static final String NAMESPACE = "http://s3.amazonaws.com/doc/2006-03-01/";
+  private static final int PAGE_SIZE = 1000;
+
+  private final ObjectStore objects;
+
+  S3Wire(ObjectStore objects) {
+    this.objects = objects;
+  }
+
+  WireReply put(String name, byte[] content) {
+    return objects.put(name, content).fold(WireFailures::reply, r -> WireReply.empty(200));
+  }
+
+  WireReply get(String name) {
+    return objects
+        .get(name)
+        .fold(
+            WireFailures::reply,
+            o ->
+                o.map(b -> new WireReply(200, BINARY_TYPE, b))
+                    .orElse(
+                        WireReply.text(404, XML_TYPE, "<Error><Code>NoSuchKey</Code></Error>")));
+  }
+
+  /** Lists names behind a token, which is the last name of the page before. */
+  WireReply list(String prefix, String token) {
+    return objects
+        .list(prefix)
+        .fold(WireFailures::reply, names -> WireReply.text(200, XML_TYPE, page(names, token)));
+  }
+
+  private static String page(List<String> names, String token) {
+    List<String> rest = names.stream().filter(n -> n.compareTo(token) > 0).toList();
+    List<String> page = rest.stream().limit(PAGE_SIZE).toList();
+    try {
+      return xml(page, rest.size() > page.size());
+    } catch (XMLStreamException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static String xml(List<String> page, boolean truncated) throws XMLStreamException {
+    StringWriter text = new StringWriter();
+    XMLStreamWriter xml = XMLOutputFactory.newInstance().createXMLStreamWriter(text);
+    xml.writeStartDocument();
+    xml.writeStartElement("ListBucketResult");
+    xml.writeDefaultNamespace(NAMESPACE);
+    element(xml, "IsTruncated", Boolean.toString(truncated));
+    if (truncated) {
+      element(xml, "NextContinuationToken", page.get(page.size() - 1));
+    }
+    for (String name : page) {
+      xml.writeStartElement("Contents");
+      element(xml, "Key", name);
+      xml.writeEndElement();
+    }
+    xml.writeEndElement();
+    xml.writeEndDocument();
+    xml.close();
+    return text.toString();
+  }
+
+  private static void element(XMLStreamWriter xml, String name, String text)
+      throws XMLStreamException {
+    xml.writeStartElement(name);
+    xml.writeCharacters(text);
+    xml.writeEndElement();
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/wire/WireFailures.java
@@ -0,0 +1,19 @@
+package org.guavagw.standins.wire;
+
+import org.guavagw.platform.PlatformFailure;
+
+/** Replies for calls that the implementation behind the wire failed. Stateless. */
+final class WireFailures {
+  private static final int REFUSED = 400;
+  private static final int FAILED = 500;
+
+  private WireFailures() {}
+
+  static WireReply reply(PlatformFailure failure) {
+    boolean refused = failure.kind() == PlatformFailure.Kind.NOT_APPLIED;
+    return WireReply.json(refused ? REFUSED : FAILED, new Body(failure.reason()));
+  }
+
+  /** The body of a failed call. */
+  private record Body(String message) {}
+}
