Add the control bench

Cause: the cost of the control plane at full size must come from slopes. Change: ControlBench runs the control parts of many entries in one process at several sizes and fits how each figure grows.

--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchReport.java
@@ -0,0 +1,68 @@
+package org.guavagw.cli.bench.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Prints the rounds, the slopes, and all of it as one line of JSON. Stateless. */
+final class BenchReport {
+  private BenchReport() {}
+
+  static void print(List<SizeResult> results, PrintStream out) {
+    Set<String> names = new TreeSet<>();
+    results.forEach(r -> names.addAll(r.perEntry().keySet()));
+    results.forEach(r -> printRound(r, out));
+    List<SlopeFit> fits = names.stream().map(n -> SlopeFit.of(n, results)).toList();
+    out.printf(
+        "%-36s %10s %12s %10s %8s %8s %12s%n",
+        "per entry", "intercept", "slope/entry", "+-", "exponent", "+-", "at 350");
+    fits.forEach(f -> printFit(f, out));
+    out.println(json(new Document(results, fits)));
+  }
+
+  private static void printRound(SizeResult result, PrintStream out) {
+    BenchScale scale = result.scale();
+    out.printf(
+        "%n%d entries, %d data centres, %d backend servers, %d teams%n",
+        scale.entries(), scale.dataCentres(), scale.backendServers(), scale.teams());
+    result.perEntry().forEach((name, v) -> out.printf("  %-36s %10.2f%n", name, v));
+    result
+        .tableCallsPerSecond()
+        .forEach((name, v) -> out.printf("  table calls/s, %-21s %10.2f%n", name, v));
+    printQuantiles("in force, platform up", result.withPlatformMs(), out);
+    printQuantiles("in force, platform down", result.withoutPlatformMs(), out);
+  }
+
+  private static void printQuantiles(String name, SizeResult.Quantiles q, PrintStream out) {
+    out.printf(
+        "  %-36s p50 %.0f ms, p99 %.0f ms, max %.0f ms, %d samples%n",
+        name, q.p50(), q.p99(), q.max(), q.samples());
+  }
+
+  private static void printFit(SlopeFit fit, PrintStream out) {
+    out.printf(
+        "%-36s %10.2f %12.4f %10.4f %8.2f %8.2f %12.2f%n",
+        fit.name(),
+        fit.intercept(),
+        fit.slope(),
+        fit.slopeError(),
+        fit.exponent(),
+        fit.exponentError(),
+        fit.atFullSize());
+  }
+
+  private static String json(Document document) {
+    try {
+      return JsonMapper.builder().build().writeValueAsString(document);
+    } catch (JsonProcessingException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** What the line of JSON holds. Immutable. */
+  private record Document(List<SizeResult> rounds, List<SlopeFit> slopes) {}
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/config/TableConfigHistory.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/config/TableConfigHistory.java
@@ -40,7 +40,12 @@
 
   @Override
   public Either<ConfigFailure, RevisionedConfig> latest() {
-    return since(RevisionedConfig.NONE).map(ConfigUpdate::config);
+    return latestFrom(RevisionedConfig.NONE);
+  }
+
+  /** The newest configuration, reading only what is new since the one given. */
+  public Either<ConfigFailure, RevisionedConfig> latestFrom(RevisionedConfig known) {
+    return since(known).map(ConfigUpdate::config);
   }
 
   @Override
