--- /dev/null
+++ b/guavagw-core/src/test/java/org/guavagw/internal/peer/PeerNetworkTest.java
@@ -0,0 +1,168 @@
+package org.guavagw.internal.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import org.guavagw.internal.lifecycle.Closer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PeerNetworkTest {
+  private static final String HOST = "127.0.0.1";
+  private static final Duration PING = Duration.ofMillis(100);
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+  private final Closer closer = new Closer();
+  private final MetricRegistry metrics = new MetricRegistry();
+  private final PeerAddresses addresses = new PeerAddresses();
+
+  /** A question with a number, for the test. */
+  record Question(long number, String text) implements PeerMessage {}
+
+  /** The answer to the question with the same number. */
+  record Reply(long number) implements PeerMessage {}
+
+  @AfterEach
+  void close() {
+    closer.close();
+  }
+
+  @Test
+  void shouldMatchCrossedAnswersToTheirRequests() {
+    NettyPeerNetwork a = network("a", "secret", Runnable::run);
+    NettyPeerNetwork b = network("b", "secret", Runnable::run);
+    CompletableFuture<Reply> first = new CompletableFuture<>();
+    b.onRequest(
+        Question.class,
+        (from, q) -> {
+          if (q.number() == 1) {
+            return first;
+          }
+          first.complete(new Reply(1));
+          return CompletableFuture.completedFuture(new Reply(q.number()));
+        });
+
+    CompletableFuture<PeerMessage> one = a.request("b", new Question(1, ""), TIMEOUT);
+    CompletableFuture<PeerMessage> two = a.request("b", new Question(2, ""), TIMEOUT);
+
+    assertThat(two.join()).isEqualTo(new Reply(2));
+    assertThat(one.join()).isEqualTo(new Reply(1));
+  }
+
+  @Test
+  void shouldReplaceAConnectionThatGoesSilent() throws Exception {
+    NettyPeerNetwork a = network("a", "secret", Runnable::run);
+    NettyPeerNetwork b = network("b", "secret", Runnable::run);
+    b.onRequest(Question.class, (from, q) -> CompletableFuture.completedFuture(new Reply(0)));
+    try (SilencingProxy proxy = new SilencingProxy(b.port())) {
+      addresses.put("b", new PeerAddress(HOST, proxy.port()));
+      assertThat(a.request("b", new Question(1, ""), TIMEOUT).join()).isEqualTo(new Reply(0));
+
+      proxy.silenceOpenConnections();
+      CompletableFuture<PeerMessage> lost = a.request("b", new Question(2, ""), TIMEOUT);
+
+      assertThat(failureOf(lost)).isEqualTo(PeerFailure.CONNECTION_LOST);
+      assertThat(a.request("b", new Question(3, ""), TIMEOUT).join()).isEqualTo(new Reply(0));
+      assertThat(metrics.counter("peer.silent-connection").getCount()).isPositive();
+    }
+  }
+
+  @Test
+  void shouldRefuseAPeerWithAnotherSecret() {
+    NettyPeerNetwork a = network("a", "wrong", Runnable::run);
+    network("b", "secret", Runnable::run);
+
+    CompletableFuture<PeerMessage> request = a.request("b", new Question(1, ""), TIMEOUT);
+
+    assertThat(failureOf(request)).isEqualTo(PeerFailure.CONNECTION_LOST);
+    assertThat(metrics.counter("peer.refused-hello").getCount()).isPositive();
+  }
+
+  @Test
+  void shouldNotTalkToAnotherMemberThatTookOverTheAddress() {
+    NettyPeerNetwork a = network("a", "secret", Runnable::run);
+    NettyPeerNetwork c = network("c", "secret", Runnable::run);
+    addresses.put("b", new PeerAddress(HOST, c.port()));
+
+    CompletableFuture<PeerMessage> request = a.request("b", new Question(1, ""), TIMEOUT);
+
+    assertThat(failureOf(request)).isEqualTo(PeerFailure.UNREACHABLE);
+  }
+
+  @Test
+  void shouldFailARequestThatIsNotAnsweredInTime() {
+    NettyPeerNetwork a = network("a", "secret", Runnable::run);
+    NettyPeerNetwork b = network("b", "secret", Runnable::run);
+    b.onRequest(Question.class, (from, q) -> new CompletableFuture<Reply>());
+
+    CompletableFuture<PeerMessage> request =
+        a.request("b", new Question(1, ""), Duration.ofMillis(50));
+
+    assertThat(failureOf(request)).isEqualTo(PeerFailure.TIMEOUT);
+  }
+
+  @Test
+  void shouldRefuseAMessageThatIsLargerThanAFrame() {
+    NettyPeerNetwork a = network("a", "secret", Runnable::run);
+    network("b", "secret", Runnable::run);
+
+    assertThat(a.send("b", new Question(1, "x".repeat(2_000_000))).getLeft())
+        .isEqualTo(PeerFailure.TOO_LARGE);
+  }
+
+  @Test
+  void shouldBoundWhatWaitsForAPeerThatDoesNotAnswerTheHandshake() throws Exception {
+    NettyPeerNetwork a = network("a", "secret", Runnable::run);
+    try (SilencingProxy proxy = new SilencingProxy(a.port())) {
+      proxy.silenceNewConnections();
+      addresses.put("b", new PeerAddress(HOST, proxy.port()));
+      String text = "x".repeat(400_000);
+
+      for (int i = 0; i < 5; i++) {
+        assertThat(a.send("b", new Question(i, text)).isRight()).isTrue();
+      }
+
+      assertThat(a.send("b", new Question(6, text)).getLeft()).isEqualTo(PeerFailure.QUEUE_FULL);
+    }
+  }
+
+  @Test
+  void shouldRefuseToRegisterANameTwice() {
+    PeerMessageRegistry registry = registry();
+
+    assertThatThrownBy(() -> registry.register(new PeerMessageType<>("q", Reply.class)))
+        .isInstanceOf(IllegalArgumentException.class);
+  }
+
+  private static PeerFailure failureOf(CompletableFuture<PeerMessage> request) {
+    try {
+      throw new AssertionError("answered with " + request.join());
+    } catch (CompletionException e) {
+      return ((PeerException) e.getCause()).failure();
+    }
+  }
+
+  private NettyPeerNetwork network(String id, String secret, Executor executor) {
+    PeerSettings settings = PeerSettings.of(HOST, 0, secret).withPingInterval(PING);
+    NettyPeerNetwork network =
+        closer.register(
+            new NettyPeerNetwork(
+                new PeerIdentity(id, 1), settings, addresses, registry(), executor, metrics));
+    addresses.put(id, new PeerAddress(HOST, network.port()));
+    return network;
+  }
+
+  private static PeerMessageRegistry registry() {
+    PeerMessageRegistry registry = new PeerMessageRegistry();
+    registry.register(
+        List.of(
+            new PeerMessageType<>("q", Question.class), new PeerMessageType<>("r", Reply.class)));
+    return registry;
+  }
+}
