--- a/guavagw-core/src/main/java/org/guavagw/internal/config/ConfigSpread.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/config/ConfigSpread.java
@@ -14,8 +14,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.guavagw.internal.config.ConfigMessage.Notice;
 import org.guavagw.internal.config.ConfigMessage.Pull;
 import org.guavagw.internal.config.ConfigMessage.Revisions;
@@ -45,6 +45,7 @@
   private final PeerNetwork network;
   private final GossipMembership membership;
   private final ScheduledExecutorService control;
+  private final RandomGenerator random;
   private final Executor blocking;
   private final Ticker ticker;
   private final ConfigCodec codec = new ConfigCodec();
@@ -63,12 +64,14 @@
       GossipMembership membership,
       ScheduledExecutorService control,
       Executor blocking,
-      Ticker ticker) {
+      Ticker ticker,
+      RandomGenerator random) {
     this.holder = holder;
     this.feed = feed;
     this.network = network;
     this.membership = membership;
     this.control = control;
+    this.random = random;
     this.blocking = blocking;
     this.ticker = ticker;
     this.freshness = new ConfirmationClock(ticker);
@@ -108,7 +111,7 @@
     if (closed) {
       return;
     }
-    double factor = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() - 0.5);
+    double factor = 1 + JITTER * (random.nextDouble() - 0.5);
     long delayMs = (long) (POLL_INTERVAL_MS * factor);
     var unused = control.schedule(this::poll, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/guavagw-core/src/main/java/org/guavagw/internal/control/ControlPlane.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/control/ControlPlane.java
@@ -4,8 +4,10 @@
 import com.google.common.base.Ticker;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.random.RandomGenerator;
 import org.guavagw.internal.config.ConfigFeed;
 import org.guavagw.internal.config.ConfigHolder;
 import org.guavagw.internal.config.ConfigMessage;
@@ -51,6 +53,7 @@
     registry.register(ConfigMessage.TYPES);
     Ticker ticker = Ticker.systemTicker();
     String id = settings.self().id();
+    RandomGenerator random = new SplittableRandom(id.hashCode() ^ settings.incarnation());
     PeerAddresses addresses = new PeerAddresses();
     this.control = executor("control-" + id);
     ScheduledExecutorService blocking = executor("platform-" + id);
@@ -63,13 +66,22 @@
     this.membership =
         closer.register(
             new GossipMembership(
-                self, network, addresses, vmList, settings.gossip(), control, blocking, ticker));
+                self,
+                network,
+                addresses,
+                vmList,
+                settings.gossip(),
+                control,
+                blocking,
+                ticker,
+                random));
     this.configSpread =
         closer.register(
-            new ConfigSpread(configs, feed, network, membership, control, blocking, ticker));
+            new ConfigSpread(
+                configs, feed, network, membership, control, blocking, ticker, random));
     this.loads =
         closer.register(
-            new LoadSpread(configs, membership, loadSource, cacheEvents, control, ticker));
+            new LoadSpread(configs, membership, loadSource, cacheEvents, control, ticker, random));
   }
 
   private ScheduledExecutorService executor(String name) {
--- a/guavagw-core/src/main/java/org/guavagw/internal/load/LoadSpread.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/load/LoadSpread.java
@@ -11,8 +11,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.guavagw.config.BackendServerConfig;
 import org.guavagw.internal.config.ConfigHolder;
 import org.guavagw.internal.config.RevisionedConfig;
@@ -38,6 +38,7 @@
   private final LoadSource source;
   private final CacheEventListener cacheEvents;
   private final ScheduledExecutorService control;
+  private final RandomGenerator random;
   private final LoadSection section;
   private final Set<String> polling = new HashSet<>();
   private final Map<String, Long> lastEvents = new HashMap<>();
@@ -51,12 +52,14 @@
       LoadSource source,
       CacheEventListener cacheEvents,
       ScheduledExecutorService control,
-      Ticker ticker) {
+      Ticker ticker,
+      RandomGenerator random) {
     this.configs = configs;
     this.membership = membership;
     this.source = source;
     this.cacheEvents = cacheEvents;
     this.control = control;
+    this.random = random;
     this.section = new LoadSection(ticker);
     membership.add(section);
     membership.onChange(members -> reassign = true);
@@ -77,7 +80,7 @@
     if (closed) {
       return;
     }
-    double factor = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() - 0.5);
+    double factor = 1 + JITTER * (random.nextDouble() - 0.5);
     long delayMs = (long) (POLL_INTERVAL_MS * factor);
     var unused = control.schedule(this::pollAll, delayMs, TimeUnit.MILLISECONDS);
   }
--- a/guavagw-core/src/main/java/org/guavagw/internal/membership/GossipMembership.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/membership/GossipMembership.java
@@ -11,9 +11,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.guavagw.internal.peer.PeerAddress;
 import org.guavagw.internal.peer.PeerAddresses;
@@ -39,6 +39,7 @@
   private final PeerAddresses addresses;
   private final GossipSettings settings;
   private final ScheduledExecutorService control;
+  private final RandomGenerator random;
   private final Ticker ticker;
   private final MemberRecords records;
   private final SummarySection summaries;
@@ -65,10 +66,12 @@
       GossipSettings settings,
       ScheduledExecutorService control,
       ScheduledExecutorService blocking,
-      Ticker ticker) {
+      Ticker ticker,
+      RandomGenerator random) {
     this.addresses = addresses;
     this.settings = settings;
     this.control = control;
+    this.random = random;
     this.ticker = ticker;
     PeerCodec codec = new PeerCodec();
     MemberRecord record = selfRecord(vm, network.self().incarnation());
@@ -141,7 +144,7 @@
       logger.atWarning().withCause(e).log("heartbeat round failed");
     }
     long meanMs = settings.heartbeatInterval().toMillis();
-    double factor = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() - 0.5);
+    double factor = 1 + JITTER * (random.nextDouble() - 0.5);
     nextTick = control.schedule(this::tick, (long) (meanMs * factor), TimeUnit.MILLISECONDS);
   }
 
@@ -173,7 +176,7 @@
     probed =
         silent.isEmpty()
             ? Optional.empty()
-            : Optional.of(silent.get(ThreadLocalRandom.current().nextInt(silent.size())));
+            : Optional.of(silent.get(random.nextInt(silent.size())));
   }
 
   private void readListIfChosen(long now) {
