--- a/guavagw-core/src/main/java/org/guavagw/internal/billing/BillSweeper.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/billing/BillSweeper.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.guavagw.internal.lease.Lease;
 import org.guavagw.internal.lease.LeaseService;
 import org.guavagw.platform.CommitResult;
@@ -27,6 +28,7 @@
  */
 public final class BillSweeper {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int LOG_PERIOD_SECONDS = 10;
   private static final String LEASE_NAME = "bill-sweeper";
   private static final int JOURNALS_PER_SWEEP = 1_000;
   private static final int BILLS_PER_SEGMENT = 500;
@@ -112,7 +114,10 @@
             ? close(row, journal)
             : billUnsettled(row, journal.id());
     return result
-        .peekLeft(failure -> logger.atWarning().log("%s not swept: %s", journal.id(), failure))
+        .peekLeft(
+            failure ->
+                logger.atWarning().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+                    "%s not swept: %s", journal.id(), failure))
         .getOrElse(false);
   }
 
--- a/guavagw-core/src/main/java/org/guavagw/internal/budget/SlicedBudgetGate.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/budget/SlicedBudgetGate.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.IntSupplier;
 import java.util.function.ToLongFunction;
@@ -21,6 +22,7 @@
  */
 public final class SlicedBudgetGate implements BudgetGate {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int LOG_PERIOD_SECONDS = 10;
   private static final long DAY_MS = Duration.ofDays(1).toMillis();
 
   private final Map<String, TeamSlices> teams = new ConcurrentHashMap<>();
@@ -139,7 +141,8 @@
 
   private void noteFailure(PlatformFailure failure) {
     storeAwayUntilNanos = clocks.monotonic().read() + settings.storeRetryInterval().toNanos();
-    logger.atInfo().log("no slice of a budget taken: %s", failure);
+    logger.atInfo().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+        "no slice of a budget taken: %s", failure);
   }
 
   private boolean isStoreAway() {
@@ -168,6 +171,8 @@
     table
         .add(BudgetRow.key(slices.team(), slices.epochDay()), taken -> -Math.min(held, taken))
         .peekLeft(
-            failure -> logger.atInfo().log("%d micros of %s not given back", held, slices.team()));
+            failure ->
+                logger.atInfo().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+                    "%d micros of %s not given back", held, slices.team()));
   }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/explain/DecisionLog.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/explain/DecisionLog.java
@@ -25,6 +25,7 @@
  */
 public final class DecisionLog implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int LOG_PERIOD_SECONDS = 10;
 
   private final Object writing = new Object();
   private final Deque<DecisionRecord> unwritten = new ArrayDeque<>();
@@ -91,7 +92,10 @@
       }
       return archive
           .write(batch.span(), batch.content())
-          .peekLeft(failure -> logger.atWarning().log("decision records wait: %s", failure))
+          .peekLeft(
+              failure ->
+                  logger.atWarning().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+                      "decision records wait: %s", failure))
           .fold(failure -> true, done -> confirm(batch));
     }
   }
--- a/guavagw-core/src/main/java/org/guavagw/internal/lease/TableLeaseService.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/lease/TableLeaseService.java
@@ -31,6 +31,7 @@
  */
 public final class TableLeaseService implements LeaseService {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int LOG_PERIOD_SECONDS = 10;
   private static final String TABLE = "lease";
 
   private final Map<String, HeldLease> held = new ConcurrentHashMap<>();
@@ -56,20 +57,45 @@
         this::renewAll, periodMs, periodMs, TimeUnit.MILLISECONDS);
   }
 
-  /** Renews every lease that is still safe, and drops those that are not. */
-  public void renewAll() {
-    for (String name : List.copyOf(held.keySet())) {
-      renew(name);
+  /** Renews every lease that is still safe, in one transaction, and drops those that are not. */
+  public synchronized void renewAll() {
+    List<String> unsafe = held.keySet().stream().filter(n -> held(n).isEmpty()).toList();
+    unsafe.forEach(this::drop);
+    List<Renewal> renewals = held.keySet().stream().flatMap(n -> renewal(n).stream()).toList();
+    if (renewals.isEmpty()) {
+      return;
     }
-  }
-
-  private void renew(String name) {
-    if (held(name).isEmpty()) {
-      drop(name);
+    long sentNanos = ticker.read();
+    Either<PlatformFailure, CommitResult> result = table.commit(transaction(renewals));
+    if (result.isRight() && result.get() instanceof CommitResult.Committed) {
+      renewals.forEach(r -> confirm(r.name(), r.row(), sentNanos));
       return;
     }
+    renewals.forEach(r -> renewAlone(r.name()));
+  }
+
+  private Optional<Renewal> renewal(String name) {
+    Optional<Row> row = table.read(key(name)).getOrElse(Optional.empty());
+    return row.filter(r -> LeaseRow.CODEC.decode(r.value()).isHeldBy(self))
+        .map(r -> new Renewal(name, r.version(), row(self.name(), fencingNumber(r))));
+  }
+
+  private static long fencingNumber(Row row) {
+    return LeaseRow.CODEC.decode(row.value()).fencingNumber();
+  }
+
+  private static Transaction transaction(List<Renewal> renewals) {
+    return new Transaction(
+        renewals.stream().map(Renewal::condition).toList(),
+        renewals.stream().map(Renewal::mutation).toList());
+  }
+
+  private void renewAlone(String name) {
     acquire(name)
-        .peekLeft(failure -> logger.atWarning().log("lease %s not renewed: %s", name, failure));
+        .peekLeft(
+            failure ->
+                logger.atWarning().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+                    "lease %s not renewed: %s", name, failure));
   }
 
   @Override
@@ -158,7 +184,10 @@
     drop(name);
     table
         .read(key(name))
-        .peekLeft(failure -> logger.atInfo().log("lease %s lapses unreleased: %s", name, failure))
+        .peekLeft(
+            failure ->
+                logger.atInfo().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+                    "lease %s lapses unreleased: %s", name, failure))
         .peek(row -> row.ifPresent(r -> writeReleased(r, lease.fencingNumber())));
   }
 
@@ -169,7 +198,10 @@
     }
     Condition unchanged = new Condition.VersionIs(row.key(), row.version());
     commit(unchanged, row("", fencingNumber))
-        .peekLeft(failure -> logger.atInfo().log("%s lapses unreleased: %s", row.key(), failure));
+        .peekLeft(
+            failure ->
+                logger.atInfo().atMostEvery(LOG_PERIOD_SECONDS, TimeUnit.SECONDS).log(
+                    "%s lapses unreleased: %s", row.key(), failure));
   }
 
   @Override
@@ -205,4 +237,15 @@
   private static <T> Either<LeaseFailure, T> unavailable(PlatformFailure failure) {
     return Either.left(new LeaseFailure.StoreUnavailable(failure.reason()));
   }
+
+  /** A write that extends one lease. Immutable. */
+  private record Renewal(String name, long rowVersion, LeaseRow row) {
+    Condition condition() {
+      return new Condition.VersionIs(key(name), rowVersion);
+    }
+
+    Mutation mutation() {
+      return new Mutation.Put(key(name), LeaseRow.CODEC.encode(row));
+    }
+  }
 }
--- a/guavagw-core/src/test/java/org/guavagw/internal/durable/ScriptedTable.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/durable/ScriptedTable.java
@@ -20,6 +20,7 @@
   private final AtomicInteger answersToLose = new AtomicInteger();
   private final AtomicInteger requestsToLose = new AtomicInteger();
   private final AtomicReference<Runnable> beforeCommit = new AtomicReference<>(() -> {});
+  private final AtomicReference<Runnable> afterCommit = new AtomicReference<>(() -> {});
   private final AtomicReference<Runnable> afterRead = new AtomicReference<>(() -> {});
   private final InMemoryTableService store;
   private volatile boolean down;
@@ -60,6 +61,11 @@
     beforeCommit.set(action);
   }
 
+  /** Runs once, after the next commit took effect and before its answer. */
+  public void afterNextCommit(Runnable action) {
+    afterCommit.set(action);
+  }
+
   /** Runs once, after the next read took its value and before it returns. */
   public void afterNextRead(Runnable action) {
     afterRead.set(action);
@@ -99,6 +105,7 @@
       return Either.left(PlatformFailure.unknown("request lost"));
     }
     Either<PlatformFailure, CommitResult> result = store.commit(transaction);
+    afterCommit.getAndSet(() -> {}).run();
     if (take(answersToLose) || happens()) {
       return Either.left(PlatformFailure.unknown("answer lost"));
     }
