--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/ContinuousBatch.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/ContinuousBatch.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.UUID;
 import org.guavagw.config.VersionRef;
+import org.guavagw.standins.fault.LaggedValue;
 
 /**
  * The slots and the waiting queue of an engine, its loaded versions and whether it is cold. At most
@@ -19,7 +20,7 @@
 final class ContinuousBatch {
   private final EngineSettings settings;
   private final Ticker ticker;
-  private final LoadHistory history;
+  private final LaggedValue<LoadReport> history;
   private final Set<VersionRef> versions;
   private final Set<String> adapters = new LinkedHashSet<>();
   private final PriorityQueue<Waiting> waiting =
@@ -33,15 +34,16 @@
   private int finishedSinceBoot;
   private int running;
   private long arrivals;
+  private long restarts;
   private long coldOverloads;
   private long disconnects;
 
   ContinuousBatch(EngineSettings settings, Ticker ticker) {
     this.settings = settings;
     this.ticker = ticker;
-    this.history = new LoadHistory(ticker, settings.loadLag());
     this.versions = new LinkedHashSet<>(settings.versions());
-    turnCold();
+    boot();
+    this.history = new LaggedValue<>(ticker, settings.loadLag(), current());
   }
 
   Optional<EngineRefusal> admit(Job job) {
@@ -69,9 +71,13 @@
     return removed;
   }
 
-  void release(boolean finished) {
+  /** Frees the slot of a job; without effect when the engine was restarted since its start. */
+  void release(Start start, boolean finished) {
     List<Ready> ready = new ArrayList<>();
     synchronized (this) {
+      if (start.restarts() != restarts) {
+        return;
+      }
       running--;
       finishedSinceBoot += finished ? 1 : 0;
       while (running < limit() && !waiting.isEmpty()) {
@@ -83,12 +89,18 @@
   }
 
   synchronized void turnCold() {
-    bootId = UUID.randomUUID().toString();
-    bootedAt = ticker.read();
-    finishedSinceBoot = 0;
+    boot();
     changed();
   }
 
+  /** Turns cold with nothing running or waiting. */
+  synchronized void restart() {
+    restarts++;
+    running = 0;
+    waiting.clear();
+    turnCold();
+  }
+
   synchronized void load(VersionRef version) {
     versions.add(version);
     changed();
@@ -144,7 +156,7 @@
 
   synchronized LoadReport shown() {
     changed();
-    return history.shown();
+    return history.get();
   }
 
   private Optional<EngineRefusal> refusalOf(Job job) {
@@ -167,7 +179,7 @@
   private Start occupy() {
     running++;
     changed();
-    return new Start(cold(), running);
+    return new Start(restarts, cold(), running);
   }
 
   private int limit() {
@@ -180,8 +192,14 @@
     return finishedSinceBoot < c.requests() || ticker.read() - bootedAt < c.time().toNanos();
   }
 
+  private void boot() {
+    bootId = UUID.randomUUID().toString();
+    bootedAt = ticker.read();
+    finishedSinceBoot = 0;
+  }
+
   private void changed() {
-    history.add(current());
+    history.set(current());
   }
 
   /** A request that wants a slot. Implementations are thread-safe. */
@@ -196,7 +214,7 @@
   }
 
   /** State of the batch when a job started, which counts already. Immutable. */
-  record Start(boolean cold, int concurrency) {}
+  record Start(long restarts, boolean cold, int concurrency) {}
 
   /** A job in the queue. */
   private record Waiting(Job job, long arrival) {}
