Let one entry for each data centre own the permits of cold backend servers

Cause: each entry counted permits alone, so eight entries could send eight times what a backend server in cold start takes. Change: the first choice of rendezvous hashing in a data centre holds a lease and grants permits; a new owner grants nothing until every member has reported what it holds or is gone; permits end with the request's deadline. Ways weighed: divided shares (a share of 2 slots over 8 entries is 0), a permit row for each request (a write for each request). Conclusion: the cap is one count in one place, guarded by the lease.

--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ChatAttempts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ChatAttempts.java
@@ -125,7 +125,7 @@
       return Either.right(Optional.empty());
     }
     Duration patience = timeLeft().compareTo(PERMIT_PATIENCE) < 0 ? timeLeft() : PERMIT_PATIENCE;
-    return parts.permits().acquire(placement.server().id(), patience).map(Optional::of);
+    return parts.permits().acquire(placement.server().id(), timeLeft(), patience).map(Optional::of);
   }
 
   private void noteNoPermit(Placement placement, PermitRefusal refusal) {
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -27,7 +27,8 @@
 import org.guavagw.internal.membership.GossipSettings;
 import org.guavagw.internal.peer.PeerMessageRegistry;
 import org.guavagw.internal.peer.PeerSettings;
-import org.guavagw.internal.permit.EntryLocalPermits;
+import org.guavagw.internal.permit.PeerPermitService;
+import org.guavagw.internal.permit.PermitMessage;
 import org.guavagw.internal.session.LocalSessionPins;
 import org.guavagw.internal.time.Clocks;
 import org.guavagw.platform.Platform;
@@ -61,6 +62,8 @@
     TableConfigHistory history = new TableConfigHistory(platform.table(), clocks.wall());
     OkHttpClient polls = new OkHttpClient.Builder().callTimeout(POLL_TIMEOUT).build();
     closer.register(() -> polls.dispatcher().executorService().shutdown());
+    PeerMessageRegistry registry = new PeerMessageRegistry();
+    registry.register(PermitMessage.TYPES);
     this.control =
         closer.register(
             new ControlPlane(
@@ -69,14 +72,23 @@
                 history,
                 new HttpLoadSource(polls),
                 (server, events) -> {},
-                new PeerMessageRegistry(),
+                registry,
                 metrics));
     this.configs = control.configs();
     this.durable =
         DurableParts.start(settings, incarnation, platform, control, background, clocks, closer);
+    PeerPermitService permits =
+        closer.register(
+            new PeerPermitService(
+                configs,
+                control.membership(),
+                control.network(),
+                durable.leases(),
+                control.controlThread(),
+                background,
+                clocks.monotonic()));
     TrafficParts.Collaborators others =
-        new TrafficParts.Collaborators(
-            metrics, new EntryLocalPermits(configs), new LocalSessionPins(), outcome -> {});
+        new TrafficParts.Collaborators(metrics, permits, new LocalSessionPins(), outcome -> {});
     TrafficParts traffic =
         TrafficParts.create(settings, platform, configs, durable, others, json, clocks, closer);
     closer.register(
--- a/guavagw-core/src/main/java/org/guavagw/internal/permit/Permit.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/permit/Permit.java
@@ -5,7 +5,7 @@
   /** Whether the permit certainly still counts; ask right before sending. */
   boolean isSafe();
 
-  /** Gives the permit back once the request has ended. */
+  /** Gives the permit back once the request has ended; later calls do nothing. */
   @Override
   void close();
 }
