Drive rollouts, share pins and sample ratings in the entry

Cause: sessions were pinned in one process only, versions gathered no evidence and no rollout moved. Change: pins are inserted if absent in the table service, before the request while a rollout moves the model and in batches otherwise; entries send evidence to two judges, whose controller acts by conditional changes; a sample of answers is rated. Ways weighed for pins: a signed token (callers that send only a session id are not kept), assignment by hash alone (a stage moves sessions).

--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/EvidenceMessage.java
@@ -0,0 +1,12 @@
+package org.guavagw.internal.entry;
+
+import java.util.List;
+import org.guavagw.internal.peer.PeerMessage;
+import org.guavagw.internal.peer.PeerMessageType;
+import org.guavagw.internal.rollout.EvidenceReport;
+
+/** Carries a report on versions to the entry that judges them. Immutable. */
+record EvidenceMessage(EvidenceReport report) implements PeerMessage {
+  static final List<PeerMessageType<?>> TYPES =
+      List.of(new PeerMessageType<>("ev", EvidenceMessage.class));
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RolloutParts.java
@@ -0,0 +1,116 @@
+package org.guavagw.internal.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.guavagw.internal.config.ConfigHistory;
+import org.guavagw.internal.control.ControlPlane;
+import org.guavagw.internal.lease.LeaseService;
+import org.guavagw.internal.membership.Member;
+import org.guavagw.internal.membership.Rendezvous;
+import org.guavagw.internal.rollout.EvidenceCollector;
+import org.guavagw.internal.rollout.EvidenceReport;
+import org.guavagw.internal.rollout.HistoryRolloutActs;
+import org.guavagw.internal.rollout.MixtureRatioTest;
+import org.guavagw.internal.rollout.MonitorSettings;
+import org.guavagw.internal.rollout.PassEvent;
+import org.guavagw.internal.rollout.RolloutController;
+import org.guavagw.internal.rollout.RolloutMonitor;
+import org.guavagw.internal.rollout.VersionOutcome;
+import org.guavagw.internal.time.Clocks;
+
+/**
+ * Sends what this entry saw of versions to the entry that judges them, and judges where this entry
+ * is that one.
+ *
+ * <p>The first two of all entries by rendezvous hashing get every report, so that the second can
+ * take over with evidence. Thread-safe; passes run on one background task.
+ */
+final class RolloutParts implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long REPORT_INTERVAL_MS = 2_000;
+  private static final int JUDGES = 2;
+  private static final int MAX_ROWS_PER_REPORT = 64;
+
+  private final ControlPlane control;
+  private final EvidenceCollector collector;
+  private final RolloutMonitor monitor;
+  private final RolloutController controller;
+  private final ScheduledFuture<?> task;
+
+  RolloutParts(
+      ControlPlane control,
+      ConfigHistory history,
+      LeaseService leases,
+      ScheduledExecutorService background,
+      Clocks clocks) {
+    this.control = control;
+    this.collector = new EvidenceCollector(control.membership().self().id());
+    this.monitor =
+        new RolloutMonitor(clocks.monotonic(), new MixtureRatioTest(), MonitorSettings.standard());
+    this.controller =
+        new RolloutController(
+            control.configs(),
+            leases,
+            monitor,
+            new HistoryRolloutActs(history),
+            clocks.monotonic());
+    control.network().onMessage(EvidenceMessage.class, (from, m) -> monitor.absorb(m.report()));
+    this.task =
+        background.scheduleWithFixedDelay(
+            this::pass, REPORT_INTERVAL_MS, REPORT_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes in what came of one answer. */
+  void observe(VersionOutcome outcome) {
+    collector.observe(outcome);
+  }
+
+  @Override
+  public void close() {
+    task.cancel(false);
+  }
+
+  private void pass() {
+    try {
+      List<String> judges = judges();
+      report(judges);
+      if (judges.contains(control.membership().self().id())) {
+        controller.runOnce().forEach(RolloutParts::log);
+      }
+    } catch (RuntimeException e) {
+      logger.atWarning().withCause(e).log("rollout pass failed");
+    }
+  }
+
+  private List<String> judges() {
+    List<String> ids =
+        control.membership().members().stream().filter(Member::isAlive).map(Member::id).toList();
+    return Rendezvous.pick(RolloutController.LEASE_NAME, ids, JUDGES);
+  }
+
+  private void report(List<String> judges) {
+    EvidenceReport report = collector.takeReport(MAX_ROWS_PER_REPORT);
+    if (report.evidence().isEmpty()) {
+      return;
+    }
+    String self = control.membership().self().id();
+    for (String judge : judges) {
+      if (judge.equals(self)) {
+        monitor.absorb(report);
+      } else {
+        control.network().send(judge, new EvidenceMessage(report));
+      }
+    }
+  }
+
+  private static void log(PassEvent event) {
+    if (event instanceof PassEvent.Acted || event instanceof PassEvent.ActFailed) {
+      logger.atInfo().log("rollout controller: %s", event);
+    } else {
+      logger.atFine().log("rollout controller: %s", event);
+    }
+  }
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import okhttp3.OkHttpClient;
 import org.guavagw.EntrySettings;
+import org.guavagw.config.RolloutState;
 import org.guavagw.internal.config.ConfigHolder;
 import org.guavagw.internal.config.TableConfigHistory;
 import org.guavagw.internal.control.ControlPlane;
@@ -29,7 +31,7 @@
 import org.guavagw.internal.peer.PeerSettings;
 import org.guavagw.internal.permit.PeerPermitService;
 import org.guavagw.internal.permit.PermitMessage;
-import org.guavagw.internal.session.LocalSessionPins;
+import org.guavagw.internal.session.TableSessionPins;
 import org.guavagw.internal.time.Clocks;
 import org.guavagw.platform.Platform;
 import org.guavagw.platform.Vm;
@@ -41,6 +43,7 @@
  */
 public final class RunningEntry implements AutoCloseable {
   private static final int BACKGROUND_THREADS = 4;
+  private static final long PIN_FLUSH_MS = 200;
   private static final Duration POLL_TIMEOUT = Duration.ofSeconds(2);
 
   private final EntrySettings settings;
@@ -64,6 +67,7 @@
     closer.register(() -> polls.dispatcher().executorService().shutdown());
     PeerMessageRegistry registry = new PeerMessageRegistry();
     registry.register(PermitMessage.TYPES);
+    registry.register(EvidenceMessage.TYPES);
     this.control =
         closer.register(
             new ControlPlane(
@@ -87,8 +91,16 @@
                 control.controlThread(),
                 background,
                 clocks.monotonic()));
+    RolloutParts rollouts =
+        closer.register(new RolloutParts(control, history, durable.leases(), background, clocks));
+    TableSessionPins pins =
+        new TableSessionPins(platform.table(), this::isMoving, clocks.monotonic());
+    ScheduledFuture<?> pinning =
+        background.scheduleWithFixedDelay(
+            pins::flush, PIN_FLUSH_MS, PIN_FLUSH_MS, TimeUnit.MILLISECONDS);
+    closer.register(() -> pinning.cancel(false));
     TrafficParts.Collaborators others =
-        new TrafficParts.Collaborators(metrics, permits, new LocalSessionPins(), outcome -> {});
+        new TrafficParts.Collaborators(metrics, permits, pins, rollouts::observe);
     TrafficParts traffic =
         TrafficParts.create(settings, platform, configs, durable, others, json, clocks, closer);
     closer.register(
@@ -178,6 +190,12 @@
     new HealthApi(this::isReady).install(app);
   }
 
+  private boolean isMoving(String model) {
+    return configs.current().config().rollouts().stream()
+        .filter(r -> r.model().equals(model))
+        .anyMatch(r -> r.state() == RolloutState.RUNNING || r.state() == RolloutState.HELD);
+  }
+
   private ScheduledExecutorService startThreads(String name, int count) {
     ScheduledExecutorService threads =
         Executors.newScheduledThreadPool(
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
@@ -24,8 +25,10 @@
 import org.guavagw.internal.pipeline.BillFilter;
 import org.guavagw.internal.pipeline.BudgetFilter;
 import org.guavagw.internal.pipeline.CascadeFilter;
+import org.guavagw.internal.pipeline.Filter;
 import org.guavagw.internal.pipeline.OnceFilter;
 import org.guavagw.internal.pipeline.Pipeline;
+import org.guavagw.internal.pipeline.RateFilter;
 import org.guavagw.internal.pipeline.RecordFilter;
 import org.guavagw.internal.pipeline.ResolveModelFilter;
 import org.guavagw.internal.pipeline.ResolveServiceFilter;
@@ -34,6 +37,7 @@
 import org.guavagw.internal.placement.BackendViews;
 import org.guavagw.internal.placement.SampledPlacement;
 import org.guavagw.internal.quality.QualityModel;
+import org.guavagw.internal.rating.RatingObserver;
 import org.guavagw.internal.rating.TimedAnswerRater;
 import org.guavagw.internal.rollout.VersionChooser;
 import org.guavagw.internal.rollout.VersionOutcome;
@@ -78,11 +82,15 @@
             others.outcomes(),
             clocks,
             settings.dataCentre());
-    AuthenticateFilter authenticate = new AuthenticateFilter(configs);
-    RecordFilter record = new RecordFilter(durable.decisions(), others.metrics(), clocks);
-    TeamLimitFilter teamLimit = new TeamLimitFilter(new TeamLimiter());
-    BudgetFilter budget = new BudgetFilter(configs, durable.budgets());
-    BillFilter bill = new BillFilter(configs, durable.bills(), clocks);
+    RatingObserver observer = new RatingObserver(quality, others.outcomes());
+    Shared shared =
+        new Shared(
+            configs,
+            new AuthenticateFilter(configs),
+            new RecordFilter(durable.decisions(), others.metrics(), clocks),
+            new TeamLimitFilter(new TeamLimiter()),
+            new BudgetFilter(configs, durable.budgets()),
+            new BillFilter(configs, durable.bills(), clocks));
     VersionFilter version = new VersionFilter(configs, new VersionChooser(), others.pins());
     CascadeFilter cascade =
         new CascadeFilter(
@@ -92,31 +100,52 @@
             new CascadePlanner(quality),
             new CostEstimator(),
             rater,
+            observer,
             clocks);
-    Pipeline chat =
-        new Pipeline(
-            List.of(
-                record,
-                authenticate,
-                new ResolveModelFilter(configs),
-                teamLimit,
-                budget,
-                bill,
-                cascade,
-                version,
-                new ChatDispatchFilter(dispatch)));
-    Pipeline service =
-        new Pipeline(
-            List.of(
-                record,
-                authenticate,
-                new ResolveServiceFilter(configs),
-                teamLimit,
-                new OnceFilter(configs, durable.once()),
-                budget,
-                bill,
-                new ServiceDispatchFilter(dispatch, new HttpServiceClient(pools))));
-    return new TrafficParts(chat, service, authenticate, views, quality);
+    List<Filter> routing =
+        List.of(
+            cascade,
+            version,
+            new RateFilter(json, rater, observer),
+            new ChatDispatchFilter(dispatch));
+    ServiceDispatchFilter services =
+        new ServiceDispatchFilter(dispatch, new HttpServiceClient(pools));
+    return new TrafficParts(
+        shared.chat(routing),
+        shared.service(new OnceFilter(configs, durable.once()), services),
+        shared.authenticate(),
+        views,
+        quality);
+  }
+
+  /** Filters that both pipelines pass; immutable. */
+  private record Shared(
+      ConfigSource configs,
+      AuthenticateFilter authenticate,
+      RecordFilter record,
+      TeamLimitFilter teamLimit,
+      BudgetFilter budget,
+      BillFilter bill) {
+    Pipeline chat(List<Filter> routing) {
+      List<Filter> filters = new ArrayList<>();
+      filters.addAll(List.of(record, authenticate, new ResolveModelFilter(configs)));
+      filters.addAll(List.of(teamLimit, budget, bill));
+      filters.addAll(routing);
+      return new Pipeline(filters);
+    }
+
+    Pipeline service(OnceFilter once, ServiceDispatchFilter dispatch) {
+      return new Pipeline(
+          List.of(
+              record,
+              authenticate,
+              new ResolveServiceFilter(configs),
+              teamLimit,
+              once,
+              budget,
+              bill,
+              dispatch));
+    }
   }
 
   /** What traffic needs from other parts of the entry; immutable. */
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeFilter.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeFilter.java
@@ -18,6 +18,7 @@
 import org.guavagw.internal.cascade.CostEstimator;
 import org.guavagw.internal.config.ConfigSource;
 import org.guavagw.internal.rating.AnswerRater;
+import org.guavagw.internal.rating.RatingObserver;
 import org.guavagw.internal.time.Clocks;
 
 /**
@@ -31,6 +32,7 @@
   private final CascadePlanner planner;
   private final CostEstimator costs;
   private final AnswerRater rater;
+  private final RatingObserver observer;
   private final Clocks clocks;
 
   /** Creates the filter. */
@@ -41,6 +43,7 @@
       CascadePlanner planner,
       CostEstimator costs,
       AnswerRater rater,
+      RatingObserver observer,
       Clocks clocks) {
     this.json = json;
     this.configs = configs;
@@ -48,6 +51,7 @@
     this.planner = planner;
     this.costs = costs;
     this.rater = rater;
+    this.observer = observer;
     this.clocks = clocks;
   }
 
@@ -64,7 +68,8 @@
               "your team may use no model of \"" + cascade.name() + "\" now"));
     }
     CascadePlan plan = planner.plan(queryFor(exchange, cascade.config(), options));
-    return new CascadeRun(json, planner, rater, clocks, exchange, plan, options).run(next);
+    return new CascadeRun(json, planner, rater, observer, clocks, exchange, plan, options)
+        .run(next);
   }
 
   private List<CascadeRun.Option> optionsOf(Exchange exchange, CascadeConfig cascade) {
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeRun.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeRun.java
@@ -20,6 +20,7 @@
 import org.guavagw.internal.engine.EngineChunk;
 import org.guavagw.internal.explain.CascadeStepRecord;
 import org.guavagw.internal.rating.AnswerRater;
+import org.guavagw.internal.rating.RatingObserver;
 import org.guavagw.internal.time.Clocks;
 import org.guavagw.platform.AnswerSample;
 
@@ -35,6 +36,7 @@
   private final ObjectMapper json;
   private final CascadePlanner planner;
   private final AnswerRater rater;
+  private final RatingObserver observer;
   private final Clocks clocks;
   private final Exchange exchange;
   private final CascadePlan plan;
@@ -45,6 +47,7 @@
       ObjectMapper json,
       CascadePlanner planner,
       AnswerRater rater,
+      RatingObserver observer,
       Clocks clocks,
       Exchange exchange,
       CascadePlan plan,
@@ -52,6 +55,7 @@
     this.json = json;
     this.planner = planner;
     this.rater = rater;
+    this.observer = observer;
     this.clocks = clocks;
     this.exchange = exchange;
     this.plan = plan;
@@ -94,6 +98,10 @@
   private Held judge(PlannedStep step, BufferedAnswer buffer, Answered answered, long spentBefore) {
     VersionRef version = step.step().version();
     OptionalDouble rating = rater.rate(sampleOf(version, buffer), patience());
+    rating.ifPresent(
+        r ->
+            observer.rated(
+                exchange.requireTeam().id(), exchange.requireTarget().name(), version, r));
     long cost = exchange.spend().totalMicros() - spentBefore;
     exchange
         .trace()
--- a/guavagw-core/src/main/java/org/guavagw/internal/rating/TimedAnswerRater.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/rating/TimedAnswerRater.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.DoubleConsumer;
 import org.guavagw.internal.cascade.RatingState;
 import org.guavagw.platform.AnswerSample;
 import org.guavagw.platform.PlatformFailure;
@@ -73,9 +74,9 @@
   }
 
   @Override
-  public void rateLater(AnswerSample sample, RatingListener listener) {
+  public void rateLater(AnswerSample sample, DoubleConsumer listener) {
     try {
-      threads.execute(() -> note(service.rate(sample)).ifPresent(r -> listener.rated(sample, r)));
+      threads.execute(() -> note(service.rate(sample)).ifPresent(listener));
     } catch (RejectedExecutionException e) {
       failures.incrementAndGet();
     }
