Place by own requests first, limit by reported slots, and bench both in virtual time

Cause: placement that trusted load reports sent bursts to engines that had looked idle, and a queue that charged teams on arrival let a refunded flood overtake the others. Change: BackendView counts this entry's own requests eight times when ranking; PoolCapacity grants each entry a part of the reported free slots; FairQueue charges teams for what runs; requests with too little time left are refused before they run; long requests leave room for a burst. Conclusion: reports alone herd; own requests are fresh and show what others that choose alike do.

--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/load/GuardedEntry.java
@@ -0,0 +1,177 @@
+package org.guavagw.cli.bench.load;
+
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.guavagw.internal.config.RevisionedConfig;
+import org.guavagw.internal.limits.Admission;
+import org.guavagw.internal.limits.AdmissionQueue;
+import org.guavagw.internal.limits.AdmissionRefusal;
+import org.guavagw.internal.limits.AdmissionRequest;
+import org.guavagw.internal.limits.AdmissionSettings;
+import org.guavagw.internal.limits.Outcome;
+import org.guavagw.internal.limits.RetryBudget;
+import org.guavagw.internal.placement.BackendIndex;
+import org.guavagw.internal.placement.BackendViews;
+import org.guavagw.internal.placement.CacheEvents;
+import org.guavagw.internal.placement.LoadReport;
+import org.guavagw.internal.placement.NoBackend;
+import org.guavagw.internal.placement.Placement;
+import org.guavagw.internal.placement.PlacementQuery;
+import org.guavagw.internal.placement.PoolCapacity;
+import org.guavagw.internal.placement.SampledPlacement;
+
+/** An entry that calls the decisions of the real pipeline. Not thread-safe. */
+final class GuardedEntry implements Entry {
+  private static final int MAX_TRIES = 4;
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  private static final long CONTROL_PERIOD_NANOS = Duration.ofMillis(200).toNanos();
+
+  private final String dataCentre;
+  private final Fleet fleet;
+  private final EventQueue events;
+  private final BackendViews views;
+  private final SampledPlacement policy;
+  private final PoolCapacity capacity;
+  private final AdmissionQueue queue;
+  private final RetryBudget retries = new RetryBudget();
+  private BackendIndex index;
+
+  GuardedEntry(
+      String dataCentre,
+      Fleet fleet,
+      EventQueue events,
+      RandomGenerator random,
+      RevisionedConfig config,
+      int entries) {
+    this.dataCentre = dataCentre;
+    this.fleet = fleet;
+    this.events = events;
+    this.views = new BackendViews(events);
+    this.policy = new SampledPlacement(views, () -> random);
+    this.index = BackendIndex.of(config);
+    views.onIndex(index);
+    this.capacity = new PoolCapacity(views, SimLayout.TARGET, () -> entries);
+    this.queue = new AdmissionQueue(AdmissionSettings.DEFAULT, capacity::limit, events);
+  }
+
+  /** Begins the control thread's work. */
+  void start(long endNanos) {
+    events.every(CONTROL_PERIOD_NANOS, endNanos, this::control);
+  }
+
+  @Override
+  public void submit(SimRequest request, Answer answer) {
+    AdmissionRequest asked =
+        new AdmissionRequest(
+            request.team(), 1, request.requestClass(), request.deadlineNanos(), request.cost());
+    Either<AdmissionRefusal, Admission> offered = queue.offer(asked, events.read());
+    if (offered.isLeft()) {
+      answer.refused(offered.getLeft().retryAfter());
+      return;
+    }
+    Admission admission = offered.get();
+    admission.whenDecided(() -> events.after(0, () -> onDecided(request, answer, admission)));
+  }
+
+  @Override
+  public void adopt(RevisionedConfig config) {
+    index = index.next(config, events.read());
+    views.onIndex(index);
+    control();
+  }
+
+  @Override
+  public void onLoadReport(String backendId, LoadReport report) {
+    views.onLoadReport(backendId, report);
+  }
+
+  @Override
+  public void onCacheEvents(String backendId, CacheEvents cacheEvents) {
+    views.onCacheEvents(backendId, cacheEvents);
+  }
+
+  private void control() {
+    capacity.refresh(index);
+    queue.poll(events.read());
+  }
+
+  private void onDecided(SimRequest request, Answer answer, Admission admission) {
+    if (admission.refusal().isPresent()) {
+      answer.refused(admission.refusal().get().retryAfter());
+      return;
+    }
+    retries.onFirstAttempt();
+    send(new Attempt(request, answer, admission, new HashSet<>()));
+  }
+
+  private void send(Attempt attempt) {
+    Either<NoBackend, Placement> choice = choose(attempt);
+    if (choice.isLeft()) {
+      refuse(attempt, choice.getLeft().retryAfter());
+      return;
+    }
+    Placement placement = choice.get();
+    String backendId = placement.server().id();
+    attempt.tried().add(backendId);
+    views.onDispatched(backendId);
+    fleet.send(dataCentre, backendId, attempt.request(), o -> onOutcome(attempt, placement, o));
+  }
+
+  private Either<NoBackend, Placement> choose(Attempt attempt) {
+    Either<NoBackend, Placement> choice = policy.choose(query(attempt));
+    while (choice.isRight()
+        && choice.get().needsPermit()
+        && !fleet.tryPermit(choice.get().server().id())) {
+      attempt.tried().add(choice.get().server().id());
+      choice = policy.choose(query(attempt));
+    }
+    return choice;
+  }
+
+  private PlacementQuery query(Attempt attempt) {
+    return new PlacementQuery(
+        index,
+        SimLayout.TARGET,
+        dataCentre,
+        OptionalLong.of(attempt.request().prefixHash()),
+        attempt.request().requestClass(),
+        attempt.tried());
+  }
+
+  private void onOutcome(Attempt attempt, Placement placement, Outcome outcome) {
+    String backendId = placement.server().id();
+    views.onFinished(backendId, outcome);
+    if (placement.needsPermit()) {
+      fleet.releasePermit(backendId);
+    }
+    if (outcome.kind() == Outcome.Kind.COMPLETED) {
+      ModelledEngine engine = fleet.engine(backendId);
+      views.onAnswerHeaders(backendId, engine.bootId(), engine.isCold(), engine.waiting());
+      queue.release(attempt.admission(), events.read());
+      attempt.answer().answered();
+      return;
+    }
+    if (outcome.kind() == Outcome.Kind.REFUSED) {
+      capacity.onRefused();
+    }
+    boolean inTime = events.read() < attempt.request().deadlineNanos();
+    if (inTime && attempt.tried().size() < MAX_TRIES && retries.tryRetry()) {
+      send(attempt);
+      return;
+    }
+    refuse(attempt, RETRY_AFTER);
+  }
+
+  private void refuse(Attempt attempt, Duration retryAfter) {
+    queue.release(attempt.admission(), events.read());
+    attempt.answer().refused(retryAfter);
+  }
+
+  /** A request that was admitted and the backend servers that it must not go to again. */
+  private record Attempt(
+      SimRequest request, Answer answer, Admission admission, Set<String> tried) {}
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/Admission.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/Admission.java
@@ -14,14 +14,13 @@
 public final class Admission {
   private final AdmissionRequest request;
   private final long offeredNanos;
-  private final double startTag;
+  private volatile long admittedNanos;
   private final CompletableFuture<Optional<AdmissionRefusal>> decision = new CompletableFuture<>();
   private final AtomicBoolean released = new AtomicBoolean();
 
-  Admission(AdmissionRequest request, long offeredNanos, double startTag) {
+  Admission(AdmissionRequest request, long offeredNanos) {
     this.request = request;
     this.offeredNanos = offeredNanos;
-    this.startTag = startTag;
   }
 
   /** What was asked for. */
@@ -49,11 +48,17 @@
     return decision.isDone();
   }
 
-  double startTag() {
-    return startTag;
+  /** Runs an action once decided, on the thread that decides; it must not block. */
+  public void whenDecided(Runnable action) {
+    CompletableFuture<Void> unused = decision.thenRun(action);
   }
 
-  void admit() {
+  long admittedNanos() {
+    return admittedNanos;
+  }
+
+  void admit(long nowNanos) {
+    admittedNanos = nowNanos;
     decision.complete(Optional.empty());
   }
 
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/AdmissionQueue.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/AdmissionQueue.java
@@ -20,6 +20,8 @@
   private static final Duration INTERACTIVE_DRAIN_WINDOW = Duration.ofSeconds(2);
   private static final Duration LONG_DRAIN_WINDOW = Duration.ofSeconds(30);
 
+  private static final Duration DEMAND_WINDOW = Duration.ofMinutes(5);
+
   private final AdmissionSettings settings;
   private final IntSupplier limit;
   private final Ticker ticker;
@@ -30,6 +32,9 @@
   @GuardedBy("this")
   private final Lane longs = new Lane(LONG_DRAIN_WINDOW);
 
+  @GuardedBy("this")
+  private final TimeWeightedMean interactiveMean = new TimeWeightedMean(DEMAND_WINDOW);
+
   @GuardedBy("this")
   private boolean closed;
 
@@ -83,7 +88,7 @@
     if (!admission.markReleased()) {
       return;
     }
-    lane(admission.request()).onReleased(nowNanos);
+    lane(admission.request()).onReleased(admission, nowNanos);
     pump(nowNanos);
   }
 
@@ -159,29 +164,33 @@
 
   @GuardedBy("this")
   private void pump(long nowNanos) {
-    Optional<Lane> next = next();
+    Optional<Lane> next = next(nowNanos);
     while (next.isPresent()) {
       next.get().decideNext(nowNanos);
-      next = next();
+      next = next(nowNanos);
     }
+    interactiveMean.set(interactive.inFlight() + interactive.queue().size(), nowNanos);
   }
 
   @GuardedBy("this")
-  private Optional<Lane> next() {
+  private Optional<Lane> next(long nowNanos) {
     int max = limit.getAsInt();
-    if (interactive.inFlight() + longs.inFlight() >= max) {
-      return Optional.empty();
+    int running = interactive.inFlight() + longs.inFlight();
+    boolean fits = running < max;
+    double guaranteed = Math.max(1, settings.longGuaranteedShare() * max);
+    if (fits && longs.waits() && longs.inFlight() < guaranteed) {
+      return Optional.of(longs);
     }
-    boolean longDue =
-        longs.waits() && longs.inFlight() < slots(settings.longGuaranteedShare(), max);
-    if (interactive.waits() && !longDue) {
+    if (interactive.waits() && running < max * (1 + settings.interactiveOvercommit())) {
       return Optional.of(interactive);
     }
-    boolean longMay = longs.waits() && longs.inFlight() < slots(settings.longMaxShare(), max);
-    return longMay ? Optional.of(longs) : Optional.empty();
+    boolean longFits = fits && longs.waits() && longs.inFlight() < longMax(max, nowNanos);
+    return longFits ? Optional.of(longs) : Optional.empty();
   }
 
-  private static double slots(double share, int max) {
-    return Math.max(1, share * max);
+  @GuardedBy("this")
+  private double longMax(int max, long nowNanos) {
+    double wanted = settings.burstReserve() * interactiveMean.mean(nowNanos);
+    return max - Math.min(wanted, settings.maxReserveShare() * max);
   }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendIndex.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendIndex.java
@@ -1,6 +1,7 @@
 package org.guavagw.internal.placement;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,19 +23,19 @@
  */
 public final class BackendIndex {
   private final long revision;
-  private final Map<PlacementTarget, List<CandidatePool>> pools;
+  private final Map<PlacementTarget, TargetServers> targets;
   private final Map<String, DataCentreConfig> dataCentres;
   private final Map<String, BackendServerConfig> eligible;
   private final Map<String, Long> returnedNanos;
 
   private BackendIndex(
       long revision,
-      Map<PlacementTarget, List<CandidatePool>> pools,
+      Map<PlacementTarget, TargetServers> targets,
       Map<String, DataCentreConfig> dataCentres,
       Map<String, BackendServerConfig> eligible,
       Map<String, Long> returnedNanos) {
     this.revision = revision;
-    this.pools = Map.copyOf(pools);
+    this.targets = Map.copyOf(targets);
     this.dataCentres = Map.copyOf(dataCentres);
     this.eligible = Map.copyOf(eligible);
     this.returnedNanos = Map.copyOf(returnedNanos);
@@ -70,17 +71,23 @@
     return Optional.ofNullable(eligible.get(id));
   }
 
+  /** All backend servers that may get new work. */
+  public Collection<BackendServerConfig> servers() {
+    return eligible.values();
+  }
+
   /** All backend servers that may get new work for a target. */
-  public List<BackendServerConfig> servers(PlacementTarget target) {
-    return pools(target).stream().flatMap(p -> p.servers().stream()).toList();
+  public Collection<BackendServerConfig> servers(PlacementTarget target) {
+    return target(target).byId().values();
   }
 
-  List<CandidatePool> pools(PlacementTarget target) {
-    return pools.getOrDefault(target, List.of());
+  TargetServers target(PlacementTarget target) {
+    return targets.getOrDefault(target, TargetServers.NONE);
   }
 
-  Optional<Long> returnedNanos(String dataCentre) {
-    return Optional.ofNullable(returnedNanos.get(dataCentre));
+  /** When a data centre came back into service, or null where that was never seen. */
+  Long returnedNanos(String dataCentre) {
+    return returnedNanos.get(dataCentre);
   }
 
   boolean sameRegion(String a, String b) {
@@ -109,9 +116,9 @@
           .filter(s -> s != null)
           .forEach(s -> add(serving, new PlacementTarget.Service(service.id()), s));
     }
-    Map<PlacementTarget, List<CandidatePool>> pools = new HashMap<>();
-    serving.forEach((target, servers) -> pools.put(target, byDataCentre(servers)));
-    return new BackendIndex(revisioned.revision(), pools, dataCentres, eligible, returned);
+    Map<PlacementTarget, TargetServers> targets = new HashMap<>();
+    serving.forEach((target, servers) -> targets.put(target, TargetServers.of(servers)));
+    return new BackendIndex(revisioned.revision(), targets, dataCentres, eligible, returned);
   }
 
   private static boolean isIn(DataCentreConfig dc) {
@@ -124,14 +131,4 @@
       BackendServerConfig server) {
     serving.computeIfAbsent(target, t -> new ArrayList<>()).add(server);
   }
-
-  private static List<CandidatePool> byDataCentre(List<BackendServerConfig> servers) {
-    Map<String, List<BackendServerConfig>> grouped = new LinkedHashMap<>();
-    for (BackendServerConfig server : servers) {
-      grouped.computeIfAbsent(server.dataCentre(), d -> new ArrayList<>()).add(server);
-    }
-    return grouped.entrySet().stream()
-        .map(e -> new CandidatePool(e.getKey(), e.getValue()))
-        .toList();
-  }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendView.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendView.java
@@ -18,6 +18,7 @@
   private static final int INITIAL_LIMIT = 16;
   private static final int MAX_LIMIT = 256;
   private static final double LATENCY_WEIGHT = 0.1;
+  private static final double OWN_WEIGHT = 8;
 
   private final CircuitBreaker circuit = new CircuitBreaker();
   private final ConcurrencyLimiter limiter = new ConcurrencyLimiter(INITIAL_LIMIT, MAX_LIMIT);
@@ -56,13 +57,14 @@
     }
   }
 
-  synchronized void onLoadReport(LoadReport next) {
+  /** Takes a report unless a newer one was taken; says whether it is of another boot. */
+  synchronized boolean onLoadReport(LoadReport next) {
     if (report != null && next.receivedNanos() - report.receivedNanos() < 0) {
-      return;
+      return false;
     }
     report = next;
     inFlightAtReport = inFlight;
-    onBootEvidence(next.bootId(), next.cold(), next.receivedNanos());
+    return onBootEvidence(next.bootId(), next.cold(), next.receivedNanos());
   }
 
   /** Learns the state of a boot and says whether it is another boot than before. */
@@ -89,14 +91,36 @@
 
   /** Estimated requests at the backend server now, from all entries. */
   synchronized double estimatedRequests(long nowNanos) {
-    if (report == null || nowNanos - report.receivedNanos() > REPORT_EXPIRY_NANOS) {
-      return inFlight;
-    }
-    double reported = report.running() + report.waiting();
-    return Math.max(inFlight, reported + inFlight - inFlightAtReport);
+    return inFlight + othersRequests(nowNanos);
+  }
+
+  /**
+   * Estimated requests with this entry's own counted several times: they are known without delay
+   * and show what other entries, which choose alike, have sent since the last report.
+   */
+  synchronized double rankedRequests(long nowNanos) {
+    return OWN_WEIGHT * inFlight + othersRequests(nowNanos);
+  }
+
+  /** Requests in the last recent report, or this entry's own where there is none. */
+  synchronized double reportedRequests(long nowNanos) {
+    return hasRecentReport(nowNanos) ? report.running() + report.waiting() : inFlight;
+  }
+
+  /** This entry's own requests when the last recent report came, or now where there is none. */
+  synchronized int inFlightAtReport(long nowNanos) {
+    return hasRecentReport(nowNanos) ? inFlightAtReport : inFlight;
   }
 
   synchronized double latencyNanos() {
     return latencyNanos;
   }
+
+  private boolean hasRecentReport(long nowNanos) {
+    return report != null && nowNanos - report.receivedNanos() <= REPORT_EXPIRY_NANOS;
+  }
+
+  private double othersRequests(long nowNanos) {
+    return Math.max(0, reportedRequests(nowNanos) - inFlightAtReport(nowNanos));
+  }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/placement/PrefixLocations.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/placement/PrefixLocations.java
@@ -24,7 +24,9 @@
   }
 
   void stored(long prefixHash, String server) {
-    servers.asMap().merge(prefixHash, List.of(server), (old, one) -> withNewest(old, server));
+    if (!serversWith(prefixHash).contains(server)) {
+      servers.asMap().merge(prefixHash, List.of(server), (old, one) -> withNewest(old, server));
+    }
   }
 
   void removed(long prefixHash, String server) {
