Queue requests fairly before dispatch and open the operators' API

Cause: nothing bounded what an entry sent to a pool, and operators saw nothing. Change: one admission queue a version, sized by load reports; readiness waits for the first load reports; an API with configuration, status, dump, explain, drain and metrics behind a token.

--- a/guavagw-core/src/main/java/org/guavagw/internal/chat/ChatRequest.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/chat/ChatRequest.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.guavagw.config.VersionRef;
+import org.guavagw.internal.limits.RequestClass;
 
 /**
  * A chat completion request that has passed the checks of its form. The JSON tree must not be
@@ -17,6 +18,7 @@
     boolean includeUsage,
     int maxTokens,
     String prompt) {
+  private static final int INTERACTIVE_MAX_TOKENS = 256;
 
   /** The request's body as a backend server gets it: streamed, counted, and for one version. */
   public ObjectNode bodyFor(VersionRef version) {
@@ -27,4 +29,14 @@
     copy.putObject("stream_options").put("include_usage", true);
     return copy;
   }
+
+  /** How urgent the request is, judged by the length of its answer. */
+  public RequestClass requestClass() {
+    return maxTokens > INTERACTIVE_MAX_TOKENS ? RequestClass.LONG : RequestClass.INTERACTIVE;
+  }
+
+  /** Expected work relative to a short answer. */
+  public double relativeCost() {
+    return Math.max(1, (double) maxTokens / INTERACTIVE_MAX_TOKENS);
+  }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ChatAttempts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ChatAttempts.java
@@ -18,7 +18,6 @@
 import org.guavagw.internal.engine.Usage;
 import org.guavagw.internal.explain.CandidateKind;
 import org.guavagw.internal.explain.ExclusionRule;
-import org.guavagw.internal.limits.RequestClass;
 import org.guavagw.internal.permit.Permit;
 import org.guavagw.internal.permit.PermitRefusal;
 import org.guavagw.internal.pipeline.Answered;
@@ -39,7 +38,6 @@
 final class ChatAttempts {
   private static final int MAX_ATTEMPTS = 3;
   private static final int PREFIX_CHARS = 512;
-  private static final int INTERACTIVE_MAX_TOKENS = 256;
   private static final Duration PERMIT_PATIENCE = Duration.ofMillis(500);
 
   private final DispatchParts parts;
@@ -105,15 +103,10 @@
         new PlacementTarget.Version(pick.ref()),
         parts.localDataCentre(),
         OptionalLong.of(prefixHash()),
-        requestClass(),
+        exchange.chat().request().requestClass(),
         excluded);
   }
 
-  private RequestClass requestClass() {
-    int maxTokens = exchange.chat().request().maxTokens();
-    return maxTokens > INTERACTIVE_MAX_TOKENS ? RequestClass.LONG : RequestClass.INTERACTIVE;
-  }
-
   private long prefixHash() {
     String prompt = exchange.chat().request().prompt();
     String prefix = prompt.substring(0, Math.min(PREFIX_CHARS, prompt.length()));
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/LoadReportFeed.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/LoadReportFeed.java
@@ -9,41 +9,46 @@
 import org.guavagw.internal.config.ConfigSource;
 import org.guavagw.internal.load.BackendLoadTable;
 import org.guavagw.internal.load.LoadReport;
-import org.guavagw.internal.placement.BackendViews;
 import org.guavagw.internal.time.Clocks;
 
-/** Passes spread load reports on to placement, each once. Runs on one background task. */
+/** Passes spread load reports on to placement and admission. Runs as one background task. */
 final class LoadReportFeed implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long INTERVAL_MS = 500;
 
   private final BackendLoadTable table;
   private final ConfigSource configs;
-  private final BackendViews views;
+  private final TrafficParts traffic;
   private final Clocks clocks;
   private volatile ScheduledFuture<?> task;
+  private volatile boolean heard;
 
   private LoadReportFeed(
-      BackendLoadTable table, ConfigSource configs, BackendViews views, Clocks clocks) {
+      BackendLoadTable table, ConfigSource configs, TrafficParts traffic, Clocks clocks) {
     this.table = table;
     this.configs = configs;
-    this.views = views;
+    this.traffic = traffic;
     this.clocks = clocks;
   }
 
   static LoadReportFeed start(
       BackendLoadTable table,
       ConfigSource configs,
-      BackendViews views,
+      TrafficParts traffic,
       ScheduledExecutorService background,
       Clocks clocks) {
-    LoadReportFeed feed = new LoadReportFeed(table, configs, views, clocks);
+    LoadReportFeed feed = new LoadReportFeed(table, configs, traffic, clocks);
     feed.task =
         background.scheduleWithFixedDelay(
             feed::passAll, INTERVAL_MS, INTERVAL_MS, TimeUnit.MILLISECONDS);
     return feed;
   }
 
+  /** Whether any backend server has been heard of. */
+  boolean hasHeard() {
+    return heard;
+  }
+
   @Override
   public void close() {
     task.cancel(false);
@@ -53,8 +58,10 @@
     try {
       for (BackendServerConfig server : configs.current().config().backendServers()) {
         Optional<LoadReport> report = table.load(server.id());
-        report.ifPresent(r -> views.onLoadReport(server.id(), toView(r)));
+        heard |= report.isPresent();
+        report.ifPresent(r -> traffic.views().onLoadReport(server.id(), toView(r)));
       }
+      traffic.pools().refresh();
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log("load reports not passed on");
     }
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/OperatorView.java
@@ -0,0 +1,58 @@
+package org.guavagw.internal.entry;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.guavagw.EntrySettings;
+import org.guavagw.config.BackendServerConfig;
+import org.guavagw.internal.control.ControlPlane;
+import org.guavagw.internal.lifecycle.InFlight;
+import org.guavagw.internal.permit.PeerPermitService;
+import org.guavagw.internal.placement.BackendViews;
+import org.guavagw.internal.session.TableSessionPins;
+
+/** Shows operators where an entry stands. Immutable and thread-safe. */
+record OperatorView(
+    EntrySettings settings,
+    ControlPlane control,
+    DurableParts durable,
+    TrafficParts traffic,
+    PeerPermitService permits,
+    TableSessionPins pins,
+    InFlight inFlight) {
+
+  EntryStatus status(boolean ready) {
+    return new EntryStatus(
+        settings.entryId(),
+        settings.dataCentre(),
+        ready,
+        control.configs().current().revision(),
+        control.configSpread().dataCentres());
+  }
+
+  EntryDump dump(boolean ready) {
+    return new EntryDump(
+        status(ready),
+        control.membership().members(),
+        permits.isOwner(),
+        permits.heldCount(),
+        inFlight.count(),
+        traffic.pools().queued(),
+        pins.waitingCount(),
+        durable.bills().unbilled(),
+        durable.decisions().unwrittenCount(),
+        serverStates());
+  }
+
+  private Map<String, EntryDump.ServerState> serverStates() {
+    Map<String, EntryDump.ServerState> states = new TreeMap<>();
+    BackendViews views = traffic.views();
+    for (BackendServerConfig server : control.configs().current().config().backendServers()) {
+      String id = server.id();
+      states.put(
+          id,
+          new EntryDump.ServerState(
+              views.isCold(id), views.inFlight(id), views.circuit(id).name()));
+    }
+    return states;
+  }
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -18,9 +18,11 @@
 import org.guavagw.internal.control.ControlPlane;
 import org.guavagw.internal.control.ControlSettings;
 import org.guavagw.internal.explain.RequestIds;
+import org.guavagw.internal.http.AdminApi;
 import org.guavagw.internal.http.CallerApi;
 import org.guavagw.internal.http.HealthApi;
 import org.guavagw.internal.http.HttpServer;
+import org.guavagw.internal.http.MetricsText;
 import org.guavagw.internal.http.ModelsApi;
 import org.guavagw.internal.http.ServiceApi;
 import org.guavagw.internal.lifecycle.Closer;
@@ -44,17 +46,23 @@
 public final class RunningEntry implements AutoCloseable {
   private static final int BACKGROUND_THREADS = 4;
   private static final long PIN_FLUSH_MS = 200;
+  private static final int ADMIN_THREADS = 4;
+  private static final Duration LOAD_REPORT_PATIENCE = Duration.ofSeconds(5);
   private static final Duration POLL_TIMEOUT = Duration.ofSeconds(2);
 
   private final EntrySettings settings;
   private final Closer closer = new Closer();
   private final Clocks clocks = Clocks.system();
-  private final ObjectMapper json = new ObjectMapper();
+  private final ObjectMapper json = EntryJson.mapper();
   private final InFlight inFlight = new InFlight();
   private final ControlPlane control;
   private final ConfigHolder configs;
   private final DurableParts durable;
+  private final LoadReportFeed loadReports;
   private final HttpServer callers;
+  private final HttpServer operators;
+  private final OperatorView operatorView;
+  private final long startedNanos = clocks.monotonic().read();
   private volatile boolean leaving;
 
   private RunningEntry(EntrySettings settings, Platform platform) {
@@ -63,56 +71,26 @@
     ScheduledExecutorService background = startThreads("background", BACKGROUND_THREADS);
     long incarnation = clocks.wall().millis();
     TableConfigHistory history = new TableConfigHistory(platform.table(), clocks.wall());
-    OkHttpClient polls = new OkHttpClient.Builder().callTimeout(POLL_TIMEOUT).build();
-    closer.register(() -> polls.dispatcher().executorService().shutdown());
-    PeerMessageRegistry registry = new PeerMessageRegistry();
-    registry.register(PermitMessage.TYPES);
-    registry.register(EvidenceMessage.TYPES);
-    this.control =
-        closer.register(
-            new ControlPlane(
-                controlSettings(incarnation),
-                platform.vms(),
-                history,
-                new HttpLoadSource(polls),
-                (server, events) -> {},
-                registry,
-                metrics));
+    this.control = closer.register(createControl(incarnation, platform, history, metrics));
     this.configs = control.configs();
     this.durable =
         DurableParts.start(settings, incarnation, platform, control, background, clocks, closer);
-    PeerPermitService permits =
-        closer.register(
-            new PeerPermitService(
-                configs,
-                control.membership(),
-                control.network(),
-                durable.leases(),
-                control.controlThread(),
-                background,
-                clocks.monotonic()));
+    PeerPermitService permits = closer.register(startPermits(background));
     RolloutParts rollouts =
         closer.register(new RolloutParts(control, history, durable.leases(), background, clocks));
-    TableSessionPins pins =
-        new TableSessionPins(platform.table(), this::isMoving, clocks.monotonic());
-    ScheduledFuture<?> pinning =
-        background.scheduleWithFixedDelay(
-            pins::flush, PIN_FLUSH_MS, PIN_FLUSH_MS, TimeUnit.MILLISECONDS);
-    closer.register(() -> pinning.cancel(false));
+    TableSessionPins pins = startPins(platform, background);
     TrafficParts.Collaborators others =
-        new TrafficParts.Collaborators(metrics, permits, pins, rollouts::observe);
+        new TrafficParts.Collaborators(
+            metrics, permits, pins, rollouts::observe, () -> control.membership().members().size());
     TrafficParts traffic =
         TrafficParts.create(settings, platform, configs, durable, others, json, clocks, closer);
-    closer.register(
-        LoadReportFeed.start(control.loads(), configs, traffic.views(), background, clocks));
-    RequestIds ids = new RequestIds(settings.entryId(), clocks.wall());
-    this.callers =
+    this.loadReports =
         closer.register(
-            HttpServer.start(
-                app -> installCallerApis(app, ids, traffic),
-                settings.host(),
-                settings.callerPort(),
-                settings.workerThreads()));
+            LoadReportFeed.start(control.loads(), configs, traffic, background, clocks));
+    this.operatorView =
+        new OperatorView(settings, control, durable, traffic, permits, pins, inFlight);
+    this.callers = closer.register(startCallers(traffic));
+    this.operators = closer.register(startOperators(history, metrics));
     control.start();
   }
 
@@ -128,7 +106,7 @@
 
   /** Port for operators. */
   public int adminPort() {
-    return 0;
+    return operators.port();
   }
 
   /** Port for other entries. */
@@ -143,7 +121,12 @@
 
   /** Whether the balancer should send requests. */
   public boolean isReady() {
-    return !leaving && revision() > 0;
+    return !leaving && revision() > 0 && knowsBackendServers();
+  }
+
+  private boolean knowsBackendServers() {
+    long waitedNanos = clocks.monotonic().read() - startedNanos;
+    return loadReports.hasHeard() || waitedNanos > LOAD_REPORT_PATIENCE.toNanos();
   }
 
   /** Leaves without cutting a request, and says whether all ended within the limit. */
@@ -183,6 +166,67 @@
     return new ControlSettings(self, incarnation, peers, GossipSettings.DEFAULT, List.of());
   }
 
+  private ControlPlane createControl(
+      long incarnation, Platform platform, TableConfigHistory history, MetricRegistry metrics) {
+    OkHttpClient polls = new OkHttpClient.Builder().callTimeout(POLL_TIMEOUT).build();
+    closer.register(() -> polls.dispatcher().executorService().shutdown());
+    PeerMessageRegistry registry = new PeerMessageRegistry();
+    registry.register(PermitMessage.TYPES);
+    registry.register(EvidenceMessage.TYPES);
+    return new ControlPlane(
+        controlSettings(incarnation),
+        platform.vms(),
+        history,
+        new HttpLoadSource(polls),
+        (server, events) -> {},
+        registry,
+        metrics);
+  }
+
+  private PeerPermitService startPermits(ScheduledExecutorService background) {
+    return new PeerPermitService(
+        configs,
+        control.membership(),
+        control.network(),
+        durable.leases(),
+        control.controlThread(),
+        background,
+        clocks.monotonic());
+  }
+
+  private TableSessionPins startPins(Platform platform, ScheduledExecutorService background) {
+    TableSessionPins pins =
+        new TableSessionPins(platform.table(), this::isMoving, clocks.monotonic());
+    ScheduledFuture<?> flushing =
+        background.scheduleWithFixedDelay(
+            pins::flush, PIN_FLUSH_MS, PIN_FLUSH_MS, TimeUnit.MILLISECONDS);
+    closer.register(() -> flushing.cancel(false));
+    return pins;
+  }
+
+  private HttpServer startCallers(TrafficParts traffic) {
+    RequestIds ids = new RequestIds(settings.entryId(), clocks.wall());
+    return HttpServer.start(
+        app -> installCallerApis(app, ids, traffic),
+        settings.host(),
+        settings.callerPort(),
+        settings.workerThreads());
+  }
+
+  private HttpServer startOperators(TableConfigHistory history, MetricRegistry metrics) {
+    AdminApi.Parts parts =
+        new AdminApi.Parts(
+            () -> operatorView.status(isReady()),
+            () -> operatorView.dump(isReady()),
+            () -> MetricsText.of(metrics),
+            control.configSpread()::readNow,
+            () -> leaving = true);
+    AdminApi api =
+        new AdminApi(
+            json, settings.adminToken(), history, durable.decisions(), config -> List.of(), parts);
+    return HttpServer.start(api::install, settings.host(), settings.adminPort(), ADMIN_THREADS);
+  }
+
   private void installCallerApis(Jooby app, RequestIds ids, TrafficParts traffic) {
     new CallerApi(json, ids, clocks, inFlight, traffic.chat()).install(app);
     new ServiceApi(json, ids, clocks, inFlight, traffic.service()).install(app);
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.guavagw.EntrySettings;
 import org.guavagw.internal.cascade.CascadePlanner;
 import org.guavagw.internal.cascade.CostEstimator;
@@ -21,6 +22,8 @@
 import org.guavagw.internal.limits.RetryBudget;
 import org.guavagw.internal.limits.TeamLimiter;
 import org.guavagw.internal.permit.PermitService;
+import org.guavagw.internal.pipeline.AdmissionFilter;
+import org.guavagw.internal.pipeline.AdmissionPools;
 import org.guavagw.internal.pipeline.AuthenticateFilter;
 import org.guavagw.internal.pipeline.BillFilter;
 import org.guavagw.internal.pipeline.BudgetFilter;
@@ -52,6 +55,7 @@
     Pipeline service,
     AuthenticateFilter authenticate,
     BackendViews views,
+    AdmissionPools pools,
     QualityModel quality) {
 
   /** Joins the filters. */
@@ -64,21 +68,24 @@
       ObjectMapper json,
       Clocks clocks,
       Closer closer) {
-    ConnectionPools pools = closer.register(new ConnectionPools(settings.silenceTimeout()));
+    ConnectionPools connections = closer.register(new ConnectionPools(settings.silenceTimeout()));
     BackendViews views = new BackendViews(clocks.monotonic());
     QualityModel quality = new QualityModel();
     TimedAnswerRater rater =
         closer.register(new TimedAnswerRater(platform.ratings(), clocks.monotonic()));
+    BackendIndexHolder index = new BackendIndexHolder(configs, clocks.monotonic());
+    AdmissionPools pools =
+        new AdmissionPools(views, index::current, others.members(), clocks.monotonic());
     DispatchParts dispatch =
         new DispatchParts(
             json,
             new DispatchGuard(configs),
-            new BackendIndexHolder(configs, clocks.monotonic()),
+            index,
             views,
             new SampledPlacement(views, ThreadLocalRandom::current),
             others.permits(),
             new RetryBudget(),
-            new HttpEngineClient(pools),
+            new HttpEngineClient(connections),
             others.outcomes(),
             clocks,
             settings.dataCentre());
@@ -106,15 +113,17 @@
         List.of(
             cascade,
             version,
+            new AdmissionFilter(pools),
             new RateFilter(json, rater, observer),
             new ChatDispatchFilter(dispatch));
     ServiceDispatchFilter services =
-        new ServiceDispatchFilter(dispatch, new HttpServiceClient(pools));
+        new ServiceDispatchFilter(dispatch, new HttpServiceClient(connections));
     return new TrafficParts(
         shared.chat(routing),
         shared.service(new OnceFilter(configs, durable.once()), services),
         shared.authenticate(),
         views,
+        pools,
         quality);
   }
 
@@ -153,5 +162,6 @@
       MetricRegistry metrics,
       PermitService permits,
       SessionPins pins,
-      Consumer<VersionOutcome> outcomes) {}
+      Consumer<VersionOutcome> outcomes,
+      IntSupplier members) {}
 }
