Add histories and a checker for each promise

Cause: promises under failure are proved by what callers and backend servers saw, not by the router. Change: HistoryRecorder, typed events, a feed from the stand-ins' logs and twelve naive checkers. Executions are tied to calls by a tag in their content, and carry their waiting time, so that new work is judged by its arrival. An entry that is cut off has its window for a new configuration from its reconnection on. Conclusion: concurrent runs can be checked.

--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/ExecutionLog.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/ExecutionLog.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -13,12 +14,18 @@
 public final class ExecutionLog {
   private final List<Execution> executions = new ArrayList<>();
   private final List<Consumer<Execution>> listeners = new CopyOnWriteArrayList<>();
+  private final List<BiConsumer<String, String>> overloadListeners = new CopyOnWriteArrayList<>();
 
   /** Has a listener told of each start and of each end. */
   public void listen(Consumer<Execution> listener) {
     listeners.add(listener);
   }
 
+  /** Has a listener told the backend server and the request id of each refusal over cold slots. */
+  public void listenOverloads(BiConsumer<String, String> listener) {
+    overloadListeners.add(listener);
+  }
+
   /** All executions so far. */
   public synchronized List<Execution> executions() {
     return List.copyOf(executions);
@@ -29,6 +36,10 @@
     return executions().stream().filter(e -> e.requestId().equals(requestId)).toList();
   }
 
+  void overloaded(String server, String requestId) {
+    overloadListeners.forEach(l -> l.accept(server, requestId));
+  }
+
   int started(Execution execution) {
     int index;
     synchronized (this) {
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.config.VersionRef;
+import org.guavagw.standins.history.CallTag;
 import org.guavagw.standins.http.NettyChannels;
 
 /**
@@ -25,6 +26,7 @@
   private final Context ctx;
   private final Channel channel;
   private final EventLoop loop;
+  private final long arrivedNanos = System.nanoTime();
   private AnswerWriter writer;
   private long answerSeed;
   private double quality;
@@ -96,6 +98,9 @@
       return Optional.of(EngineRefusal.RESUME_UNKNOWN);
     }
     Optional<EngineRefusal> refusal = engine.batch().admit(this);
+    if (refusal.filter(EngineRefusal.COLD_SLOTS_TAKEN::equals).isPresent()) {
+      engine.log().overloaded(engine.settings().name(), request.requestId());
+    }
     if (refusal.isEmpty()) {
       engine.requests().begin(request.requestId(), this).ifPresent(Generation::cancel);
     }
@@ -271,11 +276,14 @@
         request.requestId(),
         request.idempotencyKey(),
         request.version(),
+        CallTag.find(request.prompt()),
         request.resumeOffset(),
+        Duration.ofNanos(System.nanoTime() - arrivedNanos),
         Instant.now(),
         Optional.empty(),
         Outcome.RUNNING,
         now.cold(),
-        now.concurrency());
+        now.concurrency(),
+        engine.settings().coldStart().coldSlots());
   }
 }
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/History.java
@@ -0,0 +1,42 @@
+package org.guavagw.standins.history;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Events of one run in their order. Immutable. */
+public final class History {
+  private final ImmutableList<Timed<Event>> events;
+  private final ImmutableListMultimap<Class<?>, Timed<Event>> byType;
+
+  /** A history of events that are in order. */
+  public History(List<Timed<Event>> events) {
+    this.events = ImmutableList.copyOf(events);
+    this.byType =
+        this.events.stream()
+            .collect(
+                ImmutableListMultimap.toImmutableListMultimap(t -> t.event().getClass(), t -> t));
+  }
+
+  /** All events, in order. */
+  public List<Timed<Event>> events() {
+    return events;
+  }
+
+  /** Events of one record type, in order. */
+  public <E extends Event> List<Timed<E>> of(Class<E> type) {
+    return stream(type).toList();
+  }
+
+  /** Events of one record type, in order. */
+  public <E extends Event> Stream<Timed<E>> stream(Class<E> type) {
+    return byType.get(type).stream()
+        .map(t -> new Timed<>(t.order(), t.nanos(), type.cast(t.event())));
+  }
+
+  /** Time of the last event. */
+  public long endNanos() {
+    return events.isEmpty() ? 0 : events.get(events.size() - 1).nanos();
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/Promise.java
@@ -0,0 +1,17 @@
+package org.guavagw.standins.history;
+
+/** What must hold of every history. */
+public enum Promise {
+  ALLOWED_VERSIONS,
+  NO_WORK_FOR_WITHDRAWN_VERSION,
+  SESSION_KEEPS_VERSION,
+  BILLED_ONCE,
+  COLD_SLOTS,
+  NO_WORK_FOR_DATA_CENTRE_OUT,
+  WHOLE_OWN_ANSWER,
+  NOT_RUN_IS_TRUE,
+  AT_MOST_ONCE,
+  NO_WORK_FOR_LEAVING_SERVER,
+  GRACEFUL_SHUTDOWN,
+  CONFIGURATION_IN_FORCE
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/RunClaim.java
@@ -0,0 +1,15 @@
+package org.guavagw.standins.history;
+
+import java.util.Locale;
+
+/** What a refusal says about whether the request ran. */
+public enum RunClaim {
+  NOT_RUN,
+  RAN,
+  UNKNOWN;
+
+  /** Reads the form that callers see, as {@code not_run}. */
+  public static RunClaim parse(String wireName) {
+    return valueOf(wireName.toUpperCase(Locale.ROOT));
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/check/AtMostOnceChecker.java
@@ -0,0 +1,46 @@
+package org.guavagw.standins.history.check;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.guavagw.standins.history.Event.CallerSent;
+import org.guavagw.standins.history.Event.ExecutionStarted;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.Promise;
+import org.guavagw.standins.history.Timed;
+import org.guavagw.standins.history.Violation;
+
+/**
+ * A call that may not be repeated starts at most once, over all its attempts. A run that resumes an
+ * earlier one is no start. No window applies.
+ */
+public record AtMostOnceChecker() implements HistoryChecker {
+  @Override
+  public Promise promise() {
+    return Promise.AT_MOST_ONCE;
+  }
+
+  @Override
+  public List<Violation> check(History history) {
+    Set<String> unrepeatable = unrepeatable(history);
+    Set<String> started = new HashSet<>();
+    List<Violation> violations = new ArrayList<>();
+    for (Timed<ExecutionStarted> e : history.of(ExecutionStarted.class)) {
+      boolean watched = e.event().callId().filter(unrepeatable::contains).isPresent();
+      if (watched && !e.event().resumed() && !started.add(e.event().callId().get())) {
+        violations.add(new Violation(promise(), e, "ran more than once"));
+      }
+    }
+    return List.copyOf(violations);
+  }
+
+  private static Set<String> unrepeatable(History history) {
+    return history.stream(CallerSent.class)
+        .filter(s -> !s.event().repeatable())
+        .map(s -> s.event().callId())
+        .collect(Collectors.toSet());
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/check/BilledOnceChecker.java
@@ -0,0 +1,55 @@
+package org.guavagw.standins.history.check;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.guavagw.standins.history.Event.BillWritten;
+import org.guavagw.standins.history.Event.CallerAnswered;
+import org.guavagw.standins.history.Event.CallerRefused;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.Promise;
+import org.guavagw.standins.history.RunClaim;
+import org.guavagw.standins.history.Timed;
+import org.guavagw.standins.history.Violation;
+
+/**
+ * No request has two bills; an answered one has a bill, unless it was answered within the window
+ * before the end of the history; one that was refused as not run has none.
+ */
+public record BilledOnceChecker(Duration window) implements HistoryChecker {
+  @Override
+  public Promise promise() {
+    return Promise.BILLED_ONCE;
+  }
+
+  @Override
+  public List<Violation> check(History history) {
+    Set<String> billed = new HashSet<>();
+    List<Violation> violations = new ArrayList<>();
+    for (Timed<BillWritten> bill : history.of(BillWritten.class)) {
+      if (!billed.add(bill.event().requestId())) {
+        violations.add(new Violation(promise(), bill, "billed twice"));
+      }
+    }
+    history.stream(CallerAnswered.class)
+        .filter(a -> !billed.contains(a.event().requestId()) && isDue(history, a))
+        .forEach(a -> violations.add(new Violation(promise(), a, "answered and not billed")));
+    history.stream(CallerRefused.class)
+        .filter(r -> r.event().claim() == RunClaim.NOT_RUN)
+        .filter(r -> isBilled(billed, r.event().requestId()))
+        .forEach(r -> violations.add(new Violation(promise(), r, "not run and billed")));
+    return List.copyOf(violations);
+  }
+
+  private boolean isDue(History history, Timed<?> answer) {
+    return history.endNanos() - answer.nanos() >= window.toNanos();
+  }
+
+  private static boolean isBilled(Set<String> billed, Optional<String> requestId) {
+    return requestId.filter(billed::contains).isPresent();
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/check/ColdSlotsChecker.java
@@ -0,0 +1,43 @@
+package org.guavagw.standins.history.check;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.guavagw.standins.history.Event.ColdOverload;
+import org.guavagw.standins.history.Event.ExecutionStarted;
+import org.guavagw.standins.history.Event.ServerTurnedCold;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.Promise;
+import org.guavagw.standins.history.Timed;
+import org.guavagw.standins.history.Violation;
+
+/**
+ * A cold backend server never runs, and is never sent, more than its cold slots hold; requests that
+ * reach it within the window after it turned cold without warning are excused.
+ */
+public record ColdSlotsChecker(Duration window) implements HistoryChecker {
+  @Override
+  public Promise promise() {
+    return Promise.COLD_SLOTS;
+  }
+
+  @Override
+  public List<Violation> check(History history) {
+    List<Violation> violations = new ArrayList<>();
+    history.stream(ExecutionStarted.class)
+        .filter(e -> e.event().cold() && e.event().concurrency() > e.event().coldSlots())
+        .filter(e -> !excused(history, e.event().server(), e))
+        .forEach(e -> violations.add(new Violation(promise(), e, "ran over the cold slots")));
+    history.stream(ColdOverload.class)
+        .filter(o -> !excused(history, o.event().server(), o))
+        .forEach(o -> violations.add(new Violation(promise(), o, "sent over the cold slots")));
+    return List.copyOf(violations);
+  }
+
+  private boolean excused(History history, String server, Timed<?> event) {
+    return history.stream(ServerTurnedCold.class)
+        .filter(c -> c.event().server().equals(server))
+        .anyMatch(c -> c.isBefore(event) && !event.isLaterThan(c, window));
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/check/NotRunChecker.java
@@ -0,0 +1,45 @@
+package org.guavagw.standins.history.check;
+
+import java.util.List;
+import org.guavagw.standins.history.Event.CallerRefused;
+import org.guavagw.standins.history.Event.CallerSent;
+import org.guavagw.standins.history.Event.ExecutionStarted;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.Promise;
+import org.guavagw.standins.history.RunClaim;
+import org.guavagw.standins.history.Timed;
+import org.guavagw.standins.history.Violation;
+
+/**
+ * A call that was refused as not run never starts to run, unless an attempt that may have run was
+ * sent before. No window applies.
+ */
+public record NotRunChecker() implements HistoryChecker {
+  @Override
+  public Promise promise() {
+    return Promise.NOT_RUN_IS_TRUE;
+  }
+
+  @Override
+  public List<Violation> check(History history) {
+    return history.stream(ExecutionStarted.class)
+        .filter(e -> e.event().callId().filter(id -> isDenied(history, id, e)).isPresent())
+        .map(e -> new Violation(promise(), e, "ran, but every attempt was refused as not run"))
+        .toList();
+  }
+
+  private static boolean isDenied(History history, String callId, Timed<?> execution) {
+    List<Timed<CallerSent>> attempts =
+        history.stream(CallerSent.class)
+            .filter(s -> s.event().callId().equals(callId) && s.isBefore(execution))
+            .toList();
+    return !attempts.isEmpty() && attempts.stream().allMatch(s -> refusedAsNotRun(history, s));
+  }
+
+  private static boolean refusedAsNotRun(History history, Timed<CallerSent> sent) {
+    return history.stream(CallerRefused.class)
+        .filter(r -> r.event().claim() == RunClaim.NOT_RUN)
+        .anyMatch(r -> Calls.sameAttempt(r.event(), sent.event()));
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/check/SessionVersionChecker.java
@@ -0,0 +1,81 @@
+package org.guavagw.standins.history.check;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.guavagw.config.VersionRef;
+import org.guavagw.standins.history.Event.CallerAnswered;
+import org.guavagw.standins.history.Event.CallerSent;
+import org.guavagw.standins.history.Event.SessionPinned;
+import org.guavagw.standins.history.Event.VersionWithdrawn;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.Promise;
+import org.guavagw.standins.history.Timed;
+import org.guavagw.standins.history.Violation;
+
+/**
+ * Answers and pins of a session show one version of each model, until that version is withdrawn. No
+ * window applies.
+ */
+public record SessionVersionChecker() implements HistoryChecker {
+  @Override
+  public Promise promise() {
+    return Promise.SESSION_KEEPS_VERSION;
+  }
+
+  @Override
+  public List<Violation> check(History history) {
+    Map<SessionModel, VersionRef> current = new HashMap<>();
+    List<Violation> violations = new ArrayList<>();
+    for (Observation o : observations(history)) {
+      VersionRef before = current.put(o.key(), o.version());
+      boolean kept = before == null || before.equals(o.version());
+      if (!kept && !withdrawn(history, before, o.event())) {
+        violations.add(new Violation(promise(), o.event(), "the session had " + before));
+      }
+    }
+    return List.copyOf(violations);
+  }
+
+  private static List<Observation> observations(History history) {
+    List<Observation> all = new ArrayList<>();
+    history.stream(SessionPinned.class).map(SessionVersionChecker::pin).forEach(all::add);
+    history.stream(CallerAnswered.class)
+        .flatMap(a -> answer(history, a).stream())
+        .forEach(all::add);
+    all.sort(Comparator.comparingLong(o -> o.event().order()));
+    return all;
+  }
+
+  private static Observation pin(Timed<SessionPinned> pin) {
+    SessionPinned p = pin.event();
+    return new Observation(
+        new SessionModel(p.team(), p.session(), p.version().model()), p.version(), pin);
+  }
+
+  private static Optional<Observation> answer(History history, Timed<CallerAnswered> answer) {
+    Optional<CallerSent> sent = Calls.sent(history, answer.event());
+    if (sent.isEmpty() || sent.get().session().isEmpty() || answer.event().version().isEmpty()) {
+      return Optional.empty();
+    }
+    VersionRef version = answer.event().version().get();
+    SessionModel key =
+        new SessionModel(sent.get().team(), sent.get().session().get(), version.model());
+    return Optional.of(new Observation(key, version, answer));
+  }
+
+  private static boolean withdrawn(History history, VersionRef version, Timed<?> before) {
+    return history.stream(VersionWithdrawn.class)
+        .anyMatch(w -> w.event().version().equals(version) && w.isBefore(before));
+  }
+
+  /** A session with one model. */
+  private record SessionModel(String team, String session, String model) {}
+
+  /** A version that a session showed. */
+  private record Observation(SessionModel key, VersionRef version, Timed<?> event) {}
+}
--- a/guavagw-standins/src/main/java/org/guavagw/standins/service/PlainServiceStandIn.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/service/PlainServiceStandIn.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.standins.fault.FaultQueue;
+import org.guavagw.standins.history.CallTag;
 import org.guavagw.standins.http.Connections;
 import org.guavagw.standins.http.JsonResponses;
 import org.guavagw.standins.http.LoopbackServer;
@@ -107,6 +108,7 @@
             ctx.getRequestPath(),
             ctx.header("X-Request-Id").toOptional(),
             ctx.header("Idempotency-Key").toOptional(),
+            CallTag.find(text(ctx)),
             Instant.now()));
   }
 
@@ -133,7 +135,10 @@
   }
 
   private Echo echo(Context ctx) {
-    String body = new String(ctx.body().bytes(), StandardCharsets.UTF_8);
-    return new Echo(name, ctx.getMethod(), ctx.getRequestPath(), ctx.headerMap(), body);
+    return new Echo(name, ctx.getMethod(), ctx.getRequestPath(), ctx.headerMap(), text(ctx));
+  }
+
+  private static String text(Context ctx) {
+    return new String(ctx.body().bytes(), StandardCharsets.UTF_8);
   }
 }
--- a/guavagw-standins/src/main/java/org/guavagw/standins/wire/DynamoWire.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/wire/DynamoWire.java
@@ -17,6 +17,7 @@
 import org.guavagw.platform.RowKey;
 import org.guavagw.platform.TableService;
 import org.guavagw.platform.Transaction;
+import org.guavagw.standins.http.JsonResponses;
 
 /**
  * The three operations of the DynamoDB JSON protocol that a table service needs. It understands the
@@ -181,7 +182,7 @@
   }
 
   private static WireReply reply(int status, Object body) {
-    return WireReply.text(status, TYPE, org.guavagw.standins.http.JsonResponses.text(body));
+    return WireReply.text(status, TYPE, JsonResponses.text(body));
   }
 
   /** Reply without content. */
--- a/guavagw-standins/src/main/java/org/guavagw/standins/wire/WireReply.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/wire/WireReply.java
@@ -1,5 +1,6 @@
 package org.guavagw.standins.wire;
 
+import java.nio.charset.StandardCharsets;
 import org.guavagw.standins.http.JsonResponses;
 
 /** A reply to an HTTP call. The array must not be changed. */
@@ -11,7 +12,7 @@
   }
 
   static WireReply text(int status, String type, String body) {
-    return new WireReply(status, type, body.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    return new WireReply(status, type, body.getBytes(StandardCharsets.UTF_8));
   }
 
   static WireReply empty(int status) {
--- a/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineClient.java
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineClient.java
@@ -5,6 +5,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import okhttp3.Call;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -62,7 +65,7 @@
     }
   }
 
-  okhttp3.Call start(Request.Builder request) {
+  Call start(Request.Builder request) {
     return client.newCall(request.build());
   }
 
@@ -74,7 +77,7 @@
     }
   }
 
-  record Reply(int status, java.util.Map<String, java.util.List<String>> headers, String body) {
+  record Reply(int status, Map<String, List<String>> headers, String body) {
     String header(String name) {
       return headers.containsKey(name) ? headers.get(name).get(0) : "";
     }
--- a/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineControlTest.java
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/engine/EngineControlTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Ticker;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -106,8 +107,8 @@
     return client.send(client.request("/orders").post(RequestBody.create(body, null)));
   }
 
-  private static com.google.common.base.Ticker ticker(AtomicLong now) {
-    return new com.google.common.base.Ticker() {
+  private static Ticker ticker(AtomicLong now) {
+    return new Ticker() {
       @Override
       public long read() {
         return now.get();
--- /dev/null
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/history/check/CallerCheckersTest.java
@@ -0,0 +1,181 @@
+package org.guavagw.standins.history.check;
+
+import static org.guavagw.standins.history.check.Histories.V1;
+import static org.guavagw.standins.history.check.Histories.V2;
+import static org.guavagw.standins.history.check.Histories.WINDOW;
+import static org.guavagw.standins.history.check.Histories.answered;
+import static org.guavagw.standins.history.check.Histories.refused;
+import static org.guavagw.standins.history.check.Histories.sent;
+import static org.guavagw.standins.history.check.Histories.sentInSession;
+import static org.guavagw.standins.history.check.Histories.start;
+import static org.guavagw.standins.history.check.WorkCheckersTest.accept;
+import static org.guavagw.standins.history.check.WorkCheckersTest.reject;
+
+import java.util.Map;
+import org.guavagw.standins.engine.AnswerText;
+import org.guavagw.standins.history.Event.BillWritten;
+import org.guavagw.standins.history.Event.CallerCut;
+import org.guavagw.standins.history.Event.ConfigAccepted;
+import org.guavagw.standins.history.Event.ConfigInForce;
+import org.guavagw.standins.history.Event.EntryCutOff;
+import org.guavagw.standins.history.Event.EntryReconnected;
+import org.guavagw.standins.history.Event.EntryStarted;
+import org.guavagw.standins.history.Event.EntryStopped;
+import org.guavagw.standins.history.Event.EntryStopping;
+import org.guavagw.standins.history.Event.SessionPinned;
+import org.guavagw.standins.history.Event.VersionWithdrawn;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.RunClaim;
+import org.junit.jupiter.api.Test;
+
+class CallerCheckersTest {
+  private static final HistoryChecker CONFIGURATION = new ConfigurationChecker(WINDOW);
+
+  @Test
+  void shouldCatchASessionThatChangesItsVersion() {
+    HistoryChecker checker = new SessionVersionChecker();
+    Histories h =
+        start()
+            .at(0, sentInSession("c1", "s1"))
+            .at(1, answered("c1", V1, ""))
+            .at(2, sentInSession("c2", "s2"))
+            .at(3, answered("c2", V2, ""))
+            .at(4, new SessionPinned("team1", "s1", V1));
+    accept(checker, h.end());
+
+    reject(checker, h.at(5, sentInSession("c3", "s1")).at(6, answered("c3", V2, "")).end(), 6);
+  }
+
+  @Test
+  void shouldLetASessionLeaveAWithdrawnVersion() {
+    History h =
+        start()
+            .at(0, new SessionPinned("team1", "s1", V1))
+            .at(1, new VersionWithdrawn(V1))
+            .at(2, new SessionPinned("team1", "s1", V2))
+            .end();
+
+    accept(new SessionVersionChecker(), h);
+  }
+
+  @Test
+  void shouldCatchAnswersThatAreCutOrCrossed() {
+    HistoryChecker checker = new WholeAnswerChecker();
+    Histories h =
+        start()
+            .at(0, sent("c1", 1))
+            .at(1, answered("c1", V1, AnswerText.whole("r-c1", "p", 4, 0.5)))
+            .at(2, sent("c2", 1))
+            .at(2, sent("c3", 1));
+    accept(checker, h.end());
+
+    Histories cut = h.at(3, answered("c2", V1, AnswerText.whole("r-c2", "p", 3, 0.5)));
+    Histories crossed = cut.at(4, answered("c3", V1, AnswerText.whole("r-c1", "p", 4, 0.5)));
+    reject(checker, crossed.end(), 4, 5);
+  }
+
+  @Test
+  void shouldCatchMissingAndDoubleBills() {
+    HistoryChecker checker = new BilledOnceChecker(WINDOW);
+    Histories h =
+        start()
+            .at(0, answered("c1", V1, ""))
+            .at(1, new BillWritten("r-c1"))
+            .at(2, refused("c2", 1, RunClaim.NOT_RUN))
+            .at(3, answered("c3", V1, ""))
+            .at(4, refused("c4", 1, RunClaim.UNKNOWN))
+            .at(5, new BillWritten("r-c4"));
+    accept(checker, h.end());
+
+    reject(checker, h.at(6, new BillWritten("r-c1")).end(), 6, 3);
+  }
+
+  @Test
+  void shouldCatchABillForWhatWasNotRun() {
+    History h =
+        start().at(0, refused("c1", 1, RunClaim.NOT_RUN)).at(1, new BillWritten("r-c1")).end();
+
+    reject(new BilledOnceChecker(WINDOW), h, 0);
+  }
+
+  @Test
+  void shouldCatchACallThatAGracefulShutdownCuts() {
+    HistoryChecker checker = new GracefulShutdownChecker();
+    Histories h =
+        start()
+            .at(0, sent("c1", 1))
+            .at(1, new CallerCut("c1", 1))
+            .at(2, sent("c2", 1))
+            .at(3, new EntryStopping("entry2"))
+            .at(4, new CallerCut("c2", 1))
+            .at(5, sent("c3", 1));
+    accept(checker, h.end());
+
+    reject(checker, h.at(6, new EntryStopping("entry1")).at(7, new CallerCut("c3", 1)).end(), 7);
+  }
+
+  @Test
+  void shouldAcceptAConfigurationThatSpreadsInTime() {
+    History h =
+        start()
+            .at(0, new EntryStarted("entry1"))
+            .at(1, accepted(1))
+            .at(2, accepted(2))
+            .at(4, new ConfigInForce("entry1", 2))
+            .at(9, new EntryStarted("entry2"))
+            .at(11, new ConfigInForce("entry2", 2))
+            .at(30, accepted(3))
+            .at(31, new EntryStopped("entry1"))
+            .at(32, new EntryStopping("entry2"))
+            .at(60, new EntryStopped("entry2"))
+            .end();
+
+    accept(CONFIGURATION, h);
+  }
+
+  @Test
+  void shouldCatchAConfigurationThatIsLateOrMissing() {
+    History h =
+        start()
+            .at(0, new EntryStarted("entry1"))
+            .at(0, new EntryStarted("entry2"))
+            .at(1, accepted(1))
+            .at(5, new ConfigInForce("entry1", 1))
+            .end();
+
+    reject(CONFIGURATION, h, 2, 2);
+  }
+
+  @Test
+  void shouldCatchARevisionThatRevertsOrWasNeverAccepted() {
+    History h =
+        start()
+            .at(0, new EntryStarted("entry1"))
+            .at(0, accepted(1))
+            .at(1, accepted(2))
+            .at(1, new ConfigInForce("entry1", 2))
+            .at(2, new ConfigInForce("entry1", 1))
+            .at(3, new ConfigInForce("entry1", 7))
+            .end();
+
+    reject(CONFIGURATION, h, 4, 5);
+  }
+
+  @Test
+  void shouldExcuseAnEntryOnlyWhileItIsCutOff() {
+    Histories h =
+        start()
+            .at(0, new EntryStarted("entry1"))
+            .at(1, new EntryCutOff("entry1"))
+            .at(2, accepted(1))
+            .at(20, new EntryReconnected("entry1"));
+    accept(CONFIGURATION, h.end());
+
+    reject(CONFIGURATION, h.at(24, new ConfigInForce("entry1", 1)).end(), 2);
+  }
+
+  private static ConfigAccepted accepted(long revision) {
+    return new ConfigAccepted(revision, Map.of());
+  }
+}
--- /dev/null
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/history/check/WorkCheckersTest.java
@@ -0,0 +1,183 @@
+package org.guavagw.standins.history.check;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.guavagw.standins.history.check.Histories.V1;
+import static org.guavagw.standins.history.check.Histories.V2;
+import static org.guavagw.standins.history.check.Histories.WINDOW;
+import static org.guavagw.standins.history.check.Histories.cold;
+import static org.guavagw.standins.history.check.Histories.refused;
+import static org.guavagw.standins.history.check.Histories.resumed;
+import static org.guavagw.standins.history.check.Histories.run;
+import static org.guavagw.standins.history.check.Histories.sent;
+import static org.guavagw.standins.history.check.Histories.start;
+import static org.guavagw.standins.history.check.Histories.waited;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.guavagw.config.VersionRef;
+import org.guavagw.standins.history.Event.ColdOverload;
+import org.guavagw.standins.history.Event.ConfigAccepted;
+import org.guavagw.standins.history.Event.DataCentreIn;
+import org.guavagw.standins.history.Event.DataCentreOut;
+import org.guavagw.standins.history.Event.ServerJoined;
+import org.guavagw.standins.history.Event.ServerLeaving;
+import org.guavagw.standins.history.Event.ServerTurnedCold;
+import org.guavagw.standins.history.Event.VersionWithdrawn;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.RunClaim;
+import org.guavagw.standins.history.Violation;
+import org.junit.jupiter.api.Test;
+
+class WorkCheckersTest {
+  @Test
+  void shouldCatchAVersionThatTheTeamMayNoLongerUse() {
+    HistoryChecker checker = new VersionsAllowedChecker(WINDOW);
+    Histories h =
+        start()
+            .at(0, allowing(1, V1))
+            .at(1, sent("c1", 1))
+            .at(10, allowing(2, V2))
+            .at(13, run("c1", V1));
+    accept(checker, h.end());
+
+    reject(checker, h.at(14, run("c1", V1)).end(), 4);
+  }
+
+  @Test
+  void shouldCatchAVersionBeforeItIsAllowed() {
+    History h =
+        start()
+            .at(0, allowing(1, V1))
+            .at(1, sent("c1", 1))
+            .at(2, run("c1", V2))
+            .at(3, allowing(2, V2))
+            .end();
+
+    reject(new VersionsAllowedChecker(WINDOW), h, 2);
+  }
+
+  @Test
+  void shouldCatchNewWorkForAWithdrawnVersionByItsArrival() {
+    HistoryChecker checker = new WithdrawnVersionChecker(WINDOW);
+    Histories h =
+        start()
+            .at(0, new VersionWithdrawn(V1))
+            .at(3, run("c1", V1))
+            .at(9, waited("c2", 6))
+            .at(9, run("c3", V2));
+    accept(checker, h.end());
+
+    reject(checker, h.at(9, waited("c4", 5)).end(), 4);
+  }
+
+  @Test
+  void shouldCatchWorkInADataCentreThatIsOut() {
+    HistoryChecker checker = new DataCentreOutChecker(WINDOW);
+    Histories h =
+        start()
+            .at(0, new DataCentreOut("luxor-ops"))
+            .at(3, run("c1", V1))
+            .at(5, new DataCentreIn("luxor-ops"))
+            .at(6, run("c2", V1))
+            .at(7, new DataCentreOut("aswan-hq"))
+            .at(20, run("c3", V1));
+    accept(checker, h.end());
+
+    reject(checker, h.at(21, new DataCentreOut("luxor-ops")).at(25, run("c4", V1)).end(), 7);
+  }
+
+  @Test
+  void shouldCatchWorkForALeavingServer() {
+    HistoryChecker checker = new LeavingServerChecker(WINDOW);
+    Histories h =
+        start()
+            .at(0, new ServerLeaving("server1"))
+            .at(2, run("c1", V1))
+            .at(5, new ServerJoined("server1"))
+            .at(9, run("c2", V1));
+    accept(checker, h.end());
+
+    reject(checker, h.at(10, new ServerLeaving("server1")).at(14, run("c3", V1)).end(), 5);
+  }
+
+  @Test
+  void shouldCatchMoreWorkThanColdSlots() {
+    HistoryChecker checker = new ColdSlotsChecker(WINDOW);
+    Histories h =
+        start()
+            .at(0, cold(2))
+            .at(5, new ServerTurnedCold("server1"))
+            .at(7, new ColdOverload("server1", "r1"));
+    accept(checker, h.end());
+
+    reject(checker, h.at(9, new ColdOverload("server1", "r2")).at(10, cold(3)).end(), 4, 3);
+  }
+
+  @Test
+  void shouldCatchASecondRunOverAllAttempts() {
+    HistoryChecker checker = new AtMostOnceChecker();
+    Histories h =
+        start()
+            .at(0, sent("c1", 1))
+            .at(0, run("c1", V1))
+            .at(1, resumed("c1"))
+            .at(2, sent("c1", 2))
+            .at(3, sent("c2", 1, Optional.empty(), true))
+            .at(4, run("c2", V1))
+            .at(5, run("c2", V1));
+    accept(checker, h.end());
+
+    reject(checker, h.at(6, run("c1", V1)).end(), 7);
+  }
+
+  @Test
+  void shouldCatchARunThatWasDenied() {
+    HistoryChecker checker = new NotRunChecker();
+    Histories h =
+        start()
+            .at(0, sent("c1", 1))
+            .at(1, refused("c1", 1, RunClaim.NOT_RUN))
+            .at(2, sent("c1", 2))
+            .at(3, run("c1", V1))
+            .at(4, refused("c1", 2, RunClaim.UNKNOWN))
+            .at(5, sent("c2", 1));
+    accept(checker, h.end());
+
+    reject(checker, h.at(6, run("c2", V1)).at(7, refused("c2", 1, RunClaim.NOT_RUN)).end(), 6);
+  }
+
+  @Test
+  void shouldCatchARunThatStartsAfterItWasDenied() {
+    History h =
+        start()
+            .at(0, sent("c1", 1))
+            .at(1, refused("c1", 1, RunClaim.NOT_RUN))
+            .at(2, run("c1", V1))
+            .at(3, sent("c1", 2))
+            .end();
+
+    reject(new NotRunChecker(), h, 2);
+  }
+
+  private static ConfigAccepted allowing(long revision, VersionRef version) {
+    return new ConfigAccepted(revision, Map.of("team1", Set.of(version)));
+  }
+
+  static void accept(HistoryChecker checker, History history) {
+    assertThat(checker.check(history)).isEmpty();
+  }
+
+  static void reject(HistoryChecker checker, History history, long... orders) {
+    List<Violation> found = checker.check(history);
+    assertThat(found).extracting(Violation::promise).containsOnly(checker.promise());
+    assertThat(found.stream().mapToLong(v -> v.event().order())).containsExactly(box(orders));
+  }
+
+  private static Long[] box(long... orders) {
+    return Arrays.stream(orders).boxed().toArray(Long[]::new);
+  }
+}
