Bench restarts, outages and losses; test orders of arrival

Cause: peak rates of a rolling restart and of a returning store, and records that arrive in any order, were neither measured nor tested.

--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchCluster.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchCluster.java
@@ -10,6 +10,7 @@
 import java.util.function.BooleanSupplier;
 import org.guavagw.config.GatewayConfig;
 import org.guavagw.internal.config.ConfigChange;
+import org.guavagw.internal.config.ConfigCodec;
 import org.guavagw.internal.config.RevisionedConfig;
 import org.guavagw.internal.config.TableConfigHistory;
 import org.guavagw.internal.lifecycle.Closer;
@@ -21,28 +22,76 @@
   private static final Duration SETTLE_TIMEOUT = Duration.ofSeconds(60);
   private static final long CHECK_INTERVAL_NS = TimeUnit.MILLISECONDS.toNanos(2);
 
+  private static final long LEAVE_TIME_NS = TimeUnit.MILLISECONDS.toNanos(200);
+
   private final Closer closer = new Closer();
   private final InMemoryTableService tables = new InMemoryTableService();
   private final TableConfigHistory history = new TableConfigHistory(tables, InstantSource.system());
+  private final SampledServers servers = new SampledServers();
   private final List<BenchEntry> entries = new ArrayList<>();
   private volatile List<Vm> vms = List.of();
   private GatewayConfig config;
   private int changes;
 
   BenchCluster(BenchScale scale) {
-    SampledServers servers = new SampledServers();
     config = BenchConfigs.of(scale);
     accept();
     for (int i = 0; i < scale.entries(); i++) {
-      BenchEntry entry =
-          new BenchEntry(
-              scale.entryId(i), scale.dataCentre(i), tables, () -> Either.right(vms), servers);
-      entries.add(closer.register(entry));
+      entries.add(create(scale.entryId(i), scale.dataCentre(i)));
     }
     vms = entries.stream().map(BenchEntry::vm).toList();
     entries.forEach(e -> e.plane().start());
   }
 
+  private BenchEntry create(String id, String dataCentre) {
+    return closer.register(
+        new BenchEntry(id, dataCentre, tables, () -> Either.right(vms), servers));
+  }
+
+  /** Has an entry leave and starts another in its place. */
+  void replace(int index) {
+    BenchEntry old = entries.get(index);
+    Vm vm = old.vm();
+    old.plane().membership().leave();
+    BenchEntry next = create(vm.id() + "r", vm.dataCentre());
+    entries.set(index, next);
+    vms = entries.stream().map(BenchEntry::vm).toList();
+    next.plane().start();
+    LockSupport.parkNanos(LEAVE_TIME_NS);
+    old.close();
+  }
+
+  /** Stops all entries of a data centre at once and gives the time until no one trusts them. */
+  double loseMs(String dataCentre) {
+    List<BenchEntry> lost =
+        entries.stream().filter(e -> e.vm().dataCentre().equals(dataCentre)).toList();
+    long startNs = System.nanoTime();
+    lost.forEach(BenchEntry::close);
+    entries.removeAll(lost);
+    await(() -> entries.stream().allMatch(e -> e.plane().membership().alive(dataCentre).isEmpty()));
+    return (System.nanoTime() - startNs) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+  }
+
+  /** Cuts every entry off from the table service or connects them again. */
+  void setTablesDown(boolean down) {
+    entries.forEach(e -> e.tables().setDown(down));
+  }
+
+  /** Accepts changes that no entry is waited for. */
+  long acceptChanges(int count) {
+    long revision = 0;
+    for (int i = 0; i < count; i++) {
+      config = BenchConfigs.changed(config, changes);
+      revision = accept();
+    }
+    return revision;
+  }
+
+  /** Size of the whole configuration as a peer sends it. */
+  int snapshotBytes() {
+    return new ConfigCodec().encode(config).length;
+  }
+
   List<BenchEntry> entries() {
     return entries;
   }
@@ -81,7 +130,7 @@
     return history.apply(change).map(RevisionedConfig::revision).get();
   }
 
-  private double awaitRevisionMs(long revision) {
+  double awaitRevisionMs(long revision) {
     long startNs = System.nanoTime();
     await(() -> entries.stream().allMatch(e -> holds(e, revision)));
     return (System.nanoTime() - startNs) / (double) TimeUnit.MILLISECONDS.toNanos(1);
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchEntry.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchEntry.java
@@ -1,5 +1,6 @@
 package org.guavagw.cli.bench.control;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.time.InstantSource;
 import java.util.List;
@@ -59,6 +60,13 @@
     return new Vm(id, plane.membership().self().dataCentre(), HOST, plane.network().port(), false);
   }
 
+  /** Bytes sent and received so far. */
+  long bytes() {
+    return metrics.getCounters((name, m) -> name.contains(".bytes.")).values().stream()
+        .mapToLong(Counter::getCount)
+        .sum();
+  }
+
   /** Bytes and messages so far, by direction and type. */
   Map<String, Long> traffic() {
     Map<String, Long> counts = new TreeMap<>();
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchReport.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchReport.java
@@ -10,18 +10,24 @@
 
 /** Prints the rounds, the slopes, and all of it as one line of JSON. Stateless. */
 final class BenchReport {
+  private static final int MIN_ROUNDS_TO_FIT = 3;
+
   private BenchReport() {}
 
-  static void print(List<SizeResult> results, PrintStream out) {
+  static void print(List<SizeResult> results, List<StormResult> storms, PrintStream out) {
     Set<String> names = new TreeSet<>();
     results.forEach(r -> names.addAll(r.perEntry().keySet()));
     results.forEach(r -> printRound(r, out));
-    List<SlopeFit> fits = names.stream().map(n -> SlopeFit.of(n, results)).toList();
+    storms.forEach(r -> printStorm(r, out));
+    List<SlopeFit> fits =
+        results.size() < MIN_ROUNDS_TO_FIT
+            ? List.of()
+            : names.stream().map(n -> SlopeFit.of(n, results)).toList();
     out.printf(
         "%-36s %10s %12s %10s %8s %8s %12s%n",
         "per entry", "intercept", "slope/entry", "+-", "exponent", "+-", "at 350");
     fits.forEach(f -> printFit(f, out));
-    out.println(json(new Document(results, fits)));
+    out.println(json(new Document(results, storms, fits)));
   }
 
   private static void printRound(SizeResult result, PrintStream out) {
@@ -43,6 +49,22 @@
         name, q.p50(), q.p99(), q.max(), q.samples());
   }
 
+  private static void printStorm(StormResult result, PrintStream out) {
+    out.printf(
+        "%n%d entries, configuration of %d bytes compressed%n",
+        result.scale().entries(), result.snapshotBytes());
+    printPeaks("every entry replaced", result.restart(), result.settledMs(), out);
+    printPeaks("table service returns", result.storeReturn(), result.caughtUpMs(), out);
+    printPeaks("data centre lost", result.dataCentreLost(), result.distrustedMs(), out);
+  }
+
+  private static void printPeaks(String name, PeakMeter.Peaks peaks, double ms, PrintStream out) {
+    out.printf(
+        "  %-22s peak bytes/s of an entry %.0f, of the mean %.0f, table calls/s %.0f, over after"
+            + " %.0f ms%n",
+        name, peaks.entryBytes(), peaks.meanEntryBytes(), peaks.tableCalls(), ms);
+  }
+
   private static void printFit(SlopeFit fit, PrintStream out) {
     out.printf(
         "%-36s %10.2f %12.4f %10.4f %8.2f %8.2f %12.2f%n",
@@ -64,5 +86,6 @@
   }
 
   /** What the line of JSON holds. Immutable. */
-  private record Document(List<SizeResult> rounds, List<SlopeFit> slopes) {}
+  private record Document(
+      List<SizeResult> rounds, List<StormResult> storms, List<SlopeFit> slopes) {}
 }
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/ControlBench.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/ControlBench.java
@@ -1,5 +1,6 @@
 package org.guavagw.cli.bench.control;
 
+import com.google.common.base.Splitter;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,6 +27,12 @@
   @Option(name = "--seed", usage = "seed of the pauses between changes")
   private long seed = 1;
 
+  @Option(name = "--storm", usage = "entries of a round of restarts and losses; 0 for none")
+  private int storm = 0;
+
+  @Option(name = "--restart-pause-ms", usage = "time between two restarts of that round")
+  private int restartPauseMs = 300;
+
   private ControlBench() {}
 
   /** Runs the bench and gives the exit code. */
@@ -38,17 +45,26 @@
       e.getParser().printUsage(System.err);
       return USAGE_ERROR;
     }
-    BenchReport.print(bench.rounds(), System.out);
+    BenchReport.print(bench.rounds(), bench.storms(), System.out);
     return 0;
   }
 
   private List<SizeResult> rounds() {
     List<SizeResult> results = new ArrayList<>();
-    for (String size : sizes.split(",", -1)) {
-      BenchScale scale = new BenchScale(Integer.parseInt(size.trim()), dataCentres);
+    for (String size : Splitter.on(',').trimResults().omitEmptyStrings().split(sizes)) {
+      BenchScale scale = new BenchScale(Integer.parseInt(size), dataCentres);
       System.err.println("measuring " + scale.entries() + " entries");
       results.add(new SizeRound(scale, Duration.ofSeconds(seconds), changes, seed).run());
     }
     return results;
   }
+
+  private List<StormResult> storms() {
+    if (storm == 0) {
+      return List.of();
+    }
+    System.err.println("restarting " + storm + " entries");
+    BenchScale scale = new BenchScale(storm, dataCentres);
+    return List.of(new StormRound(scale, Duration.ofMillis(restartPauseMs)).run());
+  }
 }
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/SizeRound.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/SizeRound.java
@@ -8,7 +8,6 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import org.guavagw.cli.bench.control.SizeResult.Quantiles;
 
 /** Measures one size: steady state first, then changes with and without the platform. */
@@ -33,9 +32,9 @@
     double heapBefore = heapMegabytes();
     try (BenchCluster cluster = new BenchCluster(scale)) {
       cluster.settle();
-      pause(WARM_UP);
+      Pauses.pause(WARM_UP);
       Snapshot before = Snapshot.of(cluster.entries());
-      pause(steady);
+      Pauses.pause(steady);
       Snapshot after = Snapshot.of(cluster.entries());
       Map<String, Double> perEntry = rates(before, after, before.traffic(), after.traffic());
       double seconds = seconds(before, after);
@@ -78,7 +77,7 @@
     long bytesBefore = configBytes(cluster);
     List<Double> samples = new ArrayList<>();
     for (int i = 0; i < changes; i++) {
-      pause(Duration.ofMillis(random.nextLong(MAX_PAUSE_MS)));
+      Pauses.pause(Duration.ofMillis(random.nextLong(MAX_PAUSE_MS)));
       BenchEntry reader = cluster.entries().get(random.nextInt(scale.entries()));
       samples.add(platform ? cluster.changeMs() : cluster.changeWithoutPlatformMs(reader));
     }
@@ -104,13 +103,6 @@
     return (after.atNs() - before.atNs()) / (double) TimeUnit.SECONDS.toNanos(1);
   }
 
-  private static void pause(Duration duration) {
-    long endNs = System.nanoTime() + duration.toNanos();
-    while (System.nanoTime() - endNs < 0) {
-      LockSupport.parkNanos(endNs - System.nanoTime());
-    }
-  }
-
   private static double heapMegabytes() {
     System.gc();
     Runtime runtime = Runtime.getRuntime();
--- /dev/null
+++ b/guavagw-core/src/test/java/org/guavagw/internal/load/LoadSectionTest.java
@@ -0,0 +1,70 @@
+package org.guavagw.internal.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.base.Ticker;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.guavagw.internal.membership.GossipLink;
+import org.junit.jupiter.api.Test;
+
+class LoadSectionTest {
+  private static final GossipLink LINK = new GossipLink("may-pen-1", true);
+  private static final String SERVER = "worker-1";
+
+  private final AtomicLong nowNs = new AtomicLong();
+  private final Ticker ticker =
+      new Ticker() {
+        @Override
+        public long read() {
+          return nowNs.get();
+        }
+      };
+  private final LoadSection poller = new LoadSection(ticker);
+  private final LoadSection reader = new LoadSection(ticker);
+
+  @Test
+  void shouldKeepTheNewerReportWhenAnOlderOneArrivesLater() {
+    poller.observed(SERVER, load(10));
+    byte[] older = poller.collect(LINK).orElseThrow();
+    poller.observed(SERVER, load(30));
+    byte[] newer = poller.collect(LINK).orElseThrow();
+
+    reader.receive(LINK, newer);
+    reader.receive(LINK, older);
+
+    assertThat(reader.load(SERVER).orElseThrow().running()).isEqualTo(30);
+  }
+
+  @Test
+  void shouldTellAgainWhatALostHeartbeatCarried() {
+    poller.observed(SERVER, load(10));
+    poller.collect(LINK);
+
+    reader.receive(LINK, poller.collect(LINK).orElseThrow());
+    poller.confirmed(LINK);
+
+    assertThat(reader.load(SERVER).orElseThrow().running()).isEqualTo(10);
+    assertThat(poller.collect(LINK)).isEmpty();
+  }
+
+  @Test
+  void shouldNotTellSmallMovesBeforeTheRefreshIsDue() {
+    poller.observed(SERVER, load(10));
+    poller.collect(LINK);
+    poller.confirmed(LINK);
+
+    poller.observed(SERVER, load(12));
+    assertThat(poller.collect(LINK)).isEmpty();
+
+    nowNs.addAndGet(TimeUnit.SECONDS.toNanos(11));
+    poller.observed(SERVER, load(12));
+    assertThat(poller.collect(LINK)).isPresent();
+  }
+
+  private static ServerLoad load(int running) {
+    return new ServerLoad(
+        "boot-1", "warm", running, 0, 32, List.of("small@v1"), List.of(), "mixed");
+  }
+}
