--- a/guavagw-core/src/main/java/org/guavagw/internal/membership/GossipMembership.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/membership/GossipMembership.java
@@ -1,5 +1,6 @@
 package org.guavagw.internal.membership;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.base.Ticker;
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
@@ -67,7 +68,8 @@
       ScheduledExecutorService control,
       ScheduledExecutorService blocking,
       Ticker ticker,
-      RandomGenerator random) {
+      RandomGenerator random,
+      MetricRegistry metrics) {
     this.addresses = addresses;
     this.settings = settings;
     this.control = control;
@@ -80,7 +82,7 @@
     this.summaries = new SummarySection(codec, ticker);
     this.exchange =
         new HeartbeatExchange(
-            network, settings, control, ticker, this::sameDataCentre, this::unresponsive);
+            network, settings, control, ticker, this::sameDataCentre, this::unresponsive, metrics);
     exchange.add(new MemberSection(records, codec, ticker));
     exchange.add(summaries);
     this.vmList = new VmListReader(vmList, records, settings, blocking, control, ticker);
@@ -188,15 +190,19 @@
   }
 
   private void summarizeIfChosen(long now) {
-    boolean due = now - summarizedAtNs >= settings.summaryInterval().toNanos();
-    if (!due || !isChosen("summary", 1)) {
+    if (!isChosen("summary", 1)) {
       return;
     }
-    summarizedAtNs = now;
     String dataCentre = self.dataCentre();
     List<Member> here = view.stream().filter(m -> m.dataCentre().equals(dataCentre)).toList();
     long beat = summaries.beat(dataCentre) + 1;
-    summaries.publish(summaryMaker.summarize(dataCentre, beat, here));
+    DataCentreSummary next = summaryMaker.summarize(dataCentre, beat, here);
+    boolean news = summaries.summary(dataCentre).filter(next::saysTheSame).isEmpty();
+    boolean due = now - summarizedAtNs >= settings.summaryInterval().toNanos();
+    if (news || due) {
+      summarizedAtNs = now;
+      summaries.publish(next);
+    }
   }
 
   /** Whether this entry is among the first of its data centre for a task; control thread only. */
