--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/load/GuardedEntry.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/load/GuardedEntry.java
@@ -105,7 +105,7 @@
       return;
     }
     retries.onFirstAttempt();
-    send(new Attempt(request, answer, admission, new HashSet<>()));
+    send(new Attempt(request, answer, admission));
   }
 
   private void send(Attempt attempt) {
@@ -116,9 +116,9 @@
     }
     Placement placement = choice.get();
     String backendId = placement.server().id();
-    attempt.tried().add(backendId);
+    attempt.onSent(backendId);
     views.onDispatched(backendId);
-    fleet.send(dataCentre, backendId, attempt.request(), o -> onOutcome(attempt, placement, o));
+    fleet.send(dataCentre, backendId, attempt.request, o -> onOutcome(attempt, placement, o));
   }
 
   private Either<NoBackend, Placement> choose(Attempt attempt) {
@@ -126,7 +126,7 @@
     while (choice.isRight()
         && choice.get().needsPermit()
         && !fleet.tryPermit(choice.get().server().id())) {
-      attempt.tried().add(choice.get().server().id());
+      attempt.exclude(choice.get().server().id());
       choice = policy.choose(query(attempt));
     }
     return choice;
@@ -137,9 +137,9 @@
         index,
         SimLayout.TARGET,
         dataCentre,
-        OptionalLong.of(attempt.request().prefixHash()),
-        attempt.request().requestClass(),
-        attempt.tried());
+        OptionalLong.of(attempt.request.prefixHash()),
+        attempt.request.requestClass(),
+        attempt.excluded);
   }
 
   private void onOutcome(Attempt attempt, Placement placement, Outcome outcome) {
@@ -151,15 +151,15 @@
     if (outcome.kind() == Outcome.Kind.COMPLETED) {
       ModelledEngine engine = fleet.engine(backendId);
       views.onAnswerHeaders(backendId, engine.bootId(), engine.isCold(), engine.waiting());
-      queue.release(attempt.admission(), events.read());
-      attempt.answer().answered();
+      queue.release(attempt.admission, events.read());
+      attempt.answer.answered();
       return;
     }
     if (outcome.kind() == Outcome.Kind.REFUSED) {
       capacity.onRefused();
     }
-    boolean inTime = events.read() < attempt.request().deadlineNanos();
-    if (inTime && attempt.tried().size() < MAX_TRIES && retries.tryRetry()) {
+    boolean inTime = events.read() < attempt.request.deadlineNanos();
+    if (inTime && attempt.sent < MAX_TRIES && retries.tryRetry()) {
       send(attempt);
       return;
     }
@@ -167,11 +167,31 @@
   }
 
   private void refuse(Attempt attempt, Duration retryAfter) {
-    queue.release(attempt.admission(), events.read());
-    attempt.answer().refused(retryAfter);
+    queue.release(attempt.admission, events.read());
+    attempt.answer.refused(retryAfter);
   }
 
-  /** A request that was admitted and the backend servers that it must not go to again. */
-  private record Attempt(
-      SimRequest request, Answer answer, Admission admission, Set<String> tried) {}
+  /** A request that was admitted, and where it must not go again. Not thread-safe. */
+  private static final class Attempt {
+    private final SimRequest request;
+    private final Answer answer;
+    private final Admission admission;
+    private final Set<String> excluded = new HashSet<>();
+    private int sent;
+
+    Attempt(SimRequest request, Answer answer, Admission admission) {
+      this.request = request;
+      this.answer = answer;
+      this.admission = admission;
+    }
+
+    void onSent(String backendId) {
+      sent++;
+      excluded.add(backendId);
+    }
+
+    void exclude(String backendId) {
+      excluded.add(backendId);
+    }
+  }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/AdmissionSettings.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/AdmissionSettings.java
@@ -18,5 +18,5 @@
     double maxReserveShare,
     double interactiveOvercommit) {
   /** Settings for an entry with a few hundred worker threads. */
-  public static final AdmissionSettings DEFAULT = new AdmissionSettings(1_000, 0.15, 6, 0.6, 0.25);
+  public static final AdmissionSettings DEFAULT = new AdmissionSettings(1_000, 0.15, 8, 0.6, 0.25);
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendView.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/placement/BackendView.java
@@ -48,15 +48,20 @@
     inFlight = Math.max(0, inFlight - 1);
     limiter.onFinished(outcome);
     circuit.onFinished(outcome.kind(), nowNanos);
-    if (outcome.kind() == Outcome.Kind.UNREACHABLE) {
-      warm = false;
-    }
-    if (outcome.kind() == Outcome.Kind.COMPLETED) {
-      double sample = outcome.firstByteNanos();
-      latencyNanos += latencyNanos == 0 ? sample : LATENCY_WEIGHT * (sample - latencyNanos);
+    switch (outcome.kind()) {
+      case COMPLETED -> learnLatency(outcome.firstByteNanos());
+      case FAILED, UNREACHABLE -> warm = false;
+      default -> {
+        // says nothing about the engine's state
+      }
     }
   }
 
+  private void learnLatency(long firstByteNanos) {
+    double sample = (double) firstByteNanos;
+    latencyNanos += latencyNanos == 0 ? sample : LATENCY_WEIGHT * (sample - latencyNanos);
+  }
+
   /** Takes a report unless a newer one was taken; says whether it is of another boot. */
   synchronized boolean onLoadReport(LoadReport next) {
     if (report != null && next.receivedNanos() - report.receivedNanos() < 0) {
--- /dev/null
+++ b/guavagw-core/src/test/java/org/guavagw/internal/placement/PlacementRulesTest.java
@@ -0,0 +1,97 @@
+package org.guavagw.internal.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.guavagw.config.BackendServerConfig;
+import org.guavagw.config.DataCentreConfig;
+import org.guavagw.config.DataCentreState;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.config.RevisionedConfig;
+import org.guavagw.internal.limits.CircuitBreaker;
+import org.guavagw.internal.limits.Outcome;
+
+class PlacementRulesTest {
+  private static final int FAILURES = 5;
+  private static final VersionRef OTHER = new VersionRef("desk", "2");
+
+  @Property(tries = 2_000, seed = "20")
+  void shouldChooseExactlyWhenTheNaiveRulesLeaveSomething(@ForAll Random random) {
+    List<DataCentreConfig> centres = centres(random);
+    List<BackendServerConfig> servers = servers(random, centres.size());
+    RevisionedConfig config = PlacementFixtures.config(1, centres, servers);
+    BackendIndex index = BackendIndex.of(config);
+    BackendViews views = new BackendViews(new ManualTicker());
+    views.onIndex(index);
+    servers.stream().filter(s -> random.nextInt(4) == 0).forEach(s -> fail(views, s));
+    Set<String> excluded = someOf(servers, random);
+
+    Either<NoBackend, Placement> choice =
+        new SampledPlacement(views, () -> new SplittableRandom(random.nextLong()))
+            .choose(PlacementFixtures.query(index, excluded));
+
+    Set<String> allowed = naive(config, views, excluded);
+    assertThat(choice.isRight()).isEqualTo(!allowed.isEmpty());
+    choice.forEach(p -> assertThat(allowed).contains(p.server().id()));
+  }
+
+  private static Set<String> naive(
+      RevisionedConfig config, BackendViews views, Set<String> excluded) {
+    Set<String> allowed = new HashSet<>();
+    for (BackendServerConfig server : config.config().backendServers()) {
+      DataCentreConfig dc = config.config().dataCentre(server.dataCentre()).orElseThrow();
+      boolean serves = server.serves().contains(PlacementFixtures.VERSION);
+      boolean in = dc.state() == DataCentreState.IN;
+      boolean closed = views.circuit(server.id()) != CircuitBreaker.State.OPEN;
+      boolean reachable = views.isPathOpen(server.dataCentre());
+      boolean stays = !server.leaving();
+      if (serves && in && stays && closed && reachable && !excluded.contains(server.id())) {
+        allowed.add(server.id());
+      }
+    }
+    return allowed;
+  }
+
+  private static List<DataCentreConfig> centres(Random random) {
+    List<DataCentreConfig> centres = new ArrayList<>();
+    for (int i = 0; i <= random.nextInt(4); i++) {
+      DataCentreState state = random.nextInt(3) == 0 ? DataCentreState.OUT : DataCentreState.IN;
+      centres.add(PlacementFixtures.dataCentre("dc-" + i, state));
+    }
+    return centres;
+  }
+
+  private static List<BackendServerConfig> servers(Random random, int centres) {
+    List<BackendServerConfig> servers = new ArrayList<>();
+    int count = random.nextInt(20);
+    for (int i = 0; i < count; i++) {
+      VersionRef serves = random.nextInt(3) == 0 ? OTHER : PlacementFixtures.VERSION;
+      String dc = "dc-" + random.nextInt(centres);
+      servers.add(PlacementFixtures.server("s" + i, dc, random.nextInt(4) == 0, serves));
+    }
+    return servers;
+  }
+
+  private static void fail(BackendViews views, BackendServerConfig server) {
+    for (int i = 0; i < FAILURES; i++) {
+      views.onDispatched(server.id());
+      views.onFinished(server.id(), Outcome.of(Outcome.Kind.UNREACHABLE));
+    }
+  }
+
+  private static Set<String> someOf(List<BackendServerConfig> servers, Random random) {
+    return servers.stream()
+        .map(BackendServerConfig::id)
+        .filter(s -> random.nextInt(3) == 0)
+        .collect(Collectors.toSet());
+  }
+}
