--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -0,0 +1,210 @@
+package org.guavagw.internal.entry;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import io.jooby.Jooby;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import okhttp3.OkHttpClient;
+import org.guavagw.EntrySettings;
+import org.guavagw.config.RolloutState;
+import org.guavagw.internal.config.ConfigHolder;
+import org.guavagw.internal.config.TableConfigHistory;
+import org.guavagw.internal.control.ControlPlane;
+import org.guavagw.internal.control.ControlSettings;
+import org.guavagw.internal.explain.RequestIds;
+import org.guavagw.internal.http.CallerApi;
+import org.guavagw.internal.http.HealthApi;
+import org.guavagw.internal.http.HttpServer;
+import org.guavagw.internal.http.ModelsApi;
+import org.guavagw.internal.http.ServiceApi;
+import org.guavagw.internal.lifecycle.Closer;
+import org.guavagw.internal.lifecycle.InFlight;
+import org.guavagw.internal.load.HttpLoadSource;
+import org.guavagw.internal.membership.GossipSettings;
+import org.guavagw.internal.peer.PeerMessageRegistry;
+import org.guavagw.internal.peer.PeerSettings;
+import org.guavagw.internal.permit.PeerPermitService;
+import org.guavagw.internal.permit.PermitMessage;
+import org.guavagw.internal.session.TableSessionPins;
+import org.guavagw.internal.time.Clocks;
+import org.guavagw.platform.Platform;
+import org.guavagw.platform.Vm;
+
+/**
+ * The parts of one entry, joined and running.
+ *
+ * <p>Control state changes on one thread; requests run on worker threads. Thread-safe.
+ */
+public final class RunningEntry implements AutoCloseable {
+  private static final int BACKGROUND_THREADS = 4;
+  private static final long PIN_FLUSH_MS = 200;
+  private static final Duration POLL_TIMEOUT = Duration.ofSeconds(2);
+
+  private final EntrySettings settings;
+  private final Closer closer = new Closer();
+  private final Clocks clocks = Clocks.system();
+  private final ObjectMapper json = new ObjectMapper();
+  private final InFlight inFlight = new InFlight();
+  private final ControlPlane control;
+  private final ConfigHolder configs;
+  private final DurableParts durable;
+  private final HttpServer callers;
+  private volatile boolean leaving;
+
+  private RunningEntry(EntrySettings settings, Platform platform) {
+    this.settings = settings;
+    MetricRegistry metrics = new MetricRegistry();
+    ScheduledExecutorService background = startThreads("background", BACKGROUND_THREADS);
+    long incarnation = clocks.wall().millis();
+    TableConfigHistory history = new TableConfigHistory(platform.table(), clocks.wall());
+    OkHttpClient polls = new OkHttpClient.Builder().callTimeout(POLL_TIMEOUT).build();
+    closer.register(() -> polls.dispatcher().executorService().shutdown());
+    PeerMessageRegistry registry = new PeerMessageRegistry();
+    registry.register(PermitMessage.TYPES);
+    registry.register(EvidenceMessage.TYPES);
+    this.control =
+        closer.register(
+            new ControlPlane(
+                controlSettings(incarnation),
+                platform.vms(),
+                history,
+                new HttpLoadSource(polls),
+                (server, events) -> {},
+                registry,
+                metrics));
+    this.configs = control.configs();
+    this.durable =
+        DurableParts.start(settings, incarnation, platform, control, background, clocks, closer);
+    PeerPermitService permits =
+        closer.register(
+            new PeerPermitService(
+                configs,
+                control.membership(),
+                control.network(),
+                durable.leases(),
+                control.controlThread(),
+                background,
+                clocks.monotonic()));
+    RolloutParts rollouts =
+        closer.register(new RolloutParts(control, history, durable.leases(), background, clocks));
+    TableSessionPins pins =
+        new TableSessionPins(platform.table(), this::isMoving, clocks.monotonic());
+    ScheduledFuture<?> pinning =
+        background.scheduleWithFixedDelay(
+            pins::flush, PIN_FLUSH_MS, PIN_FLUSH_MS, TimeUnit.MILLISECONDS);
+    closer.register(() -> pinning.cancel(false));
+    TrafficParts.Collaborators others =
+        new TrafficParts.Collaborators(metrics, permits, pins, rollouts::observe);
+    TrafficParts traffic =
+        TrafficParts.create(settings, platform, configs, durable, others, json, clocks, closer);
+    closer.register(
+        LoadReportFeed.start(control.loads(), configs, traffic.views(), background, clocks));
+    RequestIds ids = new RequestIds(settings.entryId(), clocks.wall());
+    this.callers =
+        closer.register(
+            HttpServer.start(
+                app -> installCallerApis(app, ids, traffic),
+                settings.host(),
+                settings.callerPort(),
+                settings.workerThreads()));
+    control.start();
+  }
+
+  /** Starts an entry. */
+  public static RunningEntry start(EntrySettings settings, Platform platform) {
+    return new RunningEntry(settings, platform);
+  }
+
+  /** Port for callers. */
+  public int callerPort() {
+    return callers.port();
+  }
+
+  /** Port for operators. */
+  public int adminPort() {
+    return 0;
+  }
+
+  /** Port for other entries. */
+  public int controlPort() {
+    return control.network().port();
+  }
+
+  /** Newest revision in force. */
+  public long revision() {
+    return configs.current().revision();
+  }
+
+  /** Whether the balancer should send requests. */
+  public boolean isReady() {
+    return !leaving && revision() > 0;
+  }
+
+  /** Leaves without cutting a request, and says whether all ended within the limit. */
+  public boolean shutDown() {
+    leaving = true;
+    try {
+      TimeUnit.NANOSECONDS.sleep(settings.balancerLag().toNanos());
+      inFlight.close();
+      boolean ended = inFlight.awaitNone(settings.shutdownLimit());
+      boolean written = durable.bills().flush(settings.shutdownLimit());
+      control.membership().leave();
+      return ended && written;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return false;
+    } finally {
+      close();
+    }
+  }
+
+  @Override
+  public void close() {
+    leaving = true;
+    closer.close();
+  }
+
+  private ControlSettings controlSettings(long incarnation) {
+    Vm self =
+        new Vm(
+            settings.entryId(),
+            settings.dataCentre(),
+            settings.host(),
+            settings.controlPort(),
+            false);
+    PeerSettings peers =
+        PeerSettings.of(settings.host(), settings.controlPort(), settings.peerSecret());
+    return new ControlSettings(self, incarnation, peers, GossipSettings.DEFAULT, List.of());
+  }
+
+  private void installCallerApis(Jooby app, RequestIds ids, TrafficParts traffic) {
+    new CallerApi(json, ids, clocks, inFlight, traffic.chat()).install(app);
+    new ServiceApi(json, ids, clocks, inFlight, traffic.service()).install(app);
+    new ModelsApi(json, configs, traffic.authenticate(), ids).install(app);
+    new HealthApi(this::isReady).install(app);
+  }
+
+  private boolean isMoving(String model) {
+    return configs.current().config().rollouts().stream()
+        .filter(r -> r.model().equals(model))
+        .anyMatch(r -> r.state() == RolloutState.RUNNING || r.state() == RolloutState.HELD);
+  }
+
+  private ScheduledExecutorService startThreads(String name, int count) {
+    ScheduledExecutorService threads =
+        Executors.newScheduledThreadPool(
+            count,
+            new ThreadFactoryBuilder()
+                .setNameFormat(settings.entryId() + '-' + name + "-%d")
+                .setDaemon(true)
+                .build());
+    closer.register(threads::shutdownNow);
+    return threads;
+  }
+}
