Reserve the ports of stand-ins and split the generation

Cause: a test of two servers on one port found that Netty's native transport binds a taken port without an error, so that stand-ins could share one unseen and answer each other's requests. Change: a socket that is bound and never listens holds the port, also while a stand-in is dead; close listeners are removed; what a request answers as and whether it can still be written are own classes. Tried first: choose another port when binding fails; it never fails, so that was dropped.

--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/AnswerIdentity.java
@@ -0,0 +1,24 @@
+package org.guavagw.standins.engine;
+
+import io.jooby.Context;
+
+/**
+ * Whose answer a request gets: its own, or that of another request when answers are crossed.
+ * Immutable.
+ */
+record AnswerIdentity(String requestId, long seed) {
+  static AnswerIdentity of(GenerationRequest request, String requestId) {
+    return new AnswerIdentity(requestId, AnswerText.seed(requestId, request.prompt()));
+  }
+
+  AnswerWriter writer(GenerationRequest request, Context ctx) {
+    String model = request.version().toString();
+    return request.stream()
+        ? new StreamedAnswer(ctx, requestId, model, request.includeUsage())
+        : new WholeAnswer(ctx, requestId, model);
+  }
+
+  String token(int index, double quality) {
+    return AnswerText.token(seed, index, quality);
+  }
+}
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineStandIn.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/EngineStandIn.java
@@ -105,7 +105,7 @@
   public void die() {
     engine.requests().failAll();
     resetOpenConnections();
-    server.close();
+    server.stop();
   }
 
   /** Starts again, cold, on the same port. */
--- a/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/Generation.java
@@ -2,6 +2,7 @@
 
 import io.jooby.Context;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.Instant;
@@ -27,8 +28,9 @@
   private final Channel channel;
   private final EventLoop loop;
   private final long arrivedNanos = System.nanoTime();
+  private final ChannelFutureListener closeListener = f -> onConnectionClosed();
+  private AnswerIdentity identity;
   private AnswerWriter writer;
-  private long answerSeed;
   private double quality;
   private Optional<StreamFault> fault = Optional.empty();
   private Future<?> keepAlive;
@@ -44,7 +46,6 @@
     this.channel = NettyChannels.of(ctx);
     this.loop = channel.eventLoop();
     this.nextToken = request.resumeOffset();
-    this.answerSeed = AnswerText.seed(request.requestId(), request.prompt());
   }
 
   @Override
@@ -65,12 +66,16 @@
       return refusal.get().send(ctx);
     }
     fault = engine.faults().take();
-    writer = newWriter();
+    identity = identity();
+    writer = new ReachableAnswer(newWriter(), channel, engine.connections());
     writer.open();
-    channel.closeFuture().addListener(f -> onConnectionClosed());
+    channel.closeFuture().addListener(closeListener);
     keepAlive =
         loop.scheduleAtFixedRate(
-            this::keepAlive, KEEP_ALIVE_INTERVAL_MS, KEEP_ALIVE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            writer::keepAlive,
+            KEEP_ALIVE_INTERVAL_MS,
+            KEEP_ALIVE_INTERVAL_MS,
+            TimeUnit.MILLISECONDS);
     request.deadline().ifPresent(d -> schedule(this::onDeadline, d));
     return ctx;
   }
@@ -115,25 +120,14 @@
     ctx.setResponseHeader("X-Load", load.header());
   }
 
-  private AnswerWriter newWriter() {
-    if (engine.faults().failing()) {
-      return new FailedAnswer(ctx);
-    }
-    String id = answeredId();
-    String model = request.version().toString();
-    if (request.stream()) {
-      return new StreamedAnswer(ctx, id, model, request.includeUsage());
-    }
-    return new WholeAnswer(ctx, id, model);
+  private AnswerIdentity identity() {
+    String previous = engine.requests().exchangeNewest(request.requestId());
+    boolean crossed = fault.filter(f -> f.kind() == StreamFault.Kind.CROSSED).isPresent();
+    return AnswerIdentity.of(request, crossed ? previous : request.requestId());
   }
 
-  private String answeredId() {
-    String other = engine.requests().exchangeNewest(request.requestId());
-    if (!has(StreamFault.Kind.CROSSED)) {
-      return request.requestId();
-    }
-    answerSeed = AnswerText.seed(other, request.prompt());
-    return other;
+  private AnswerWriter newWriter() {
+    return engine.faults().failing() ? new FailedAnswer(ctx) : identity.writer(request, ctx);
   }
 
   private void begin(ContinuousBatch.Start now) {
@@ -164,7 +158,6 @@
   }
 
   private void step() {
-    muteIfSilent();
     if (fault.isPresent() && nextToken - request.resumeOffset() >= fault.get().afterChunks()) {
       strike(fault.get().kind());
     }
@@ -175,7 +168,7 @@
       finish();
       return;
     }
-    writer.token(nextToken, AnswerText.token(answerSeed, nextToken, quality));
+    writer.token(nextToken, identity.token(nextToken, quality));
     nextToken++;
   }
 
@@ -192,9 +185,10 @@
         writer.cut();
       }
       case SILENCE -> engine.connections().silence(channel);
-      default -> muteIfSilent();
+      default -> {
+        return;
+      }
     }
-    muteIfSilent();
   }
 
   private void finish() {
@@ -206,7 +200,6 @@
     if (ended) {
       return;
     }
-    muteIfSilent();
     end(outcome);
     writer.cut();
   }
@@ -215,7 +208,6 @@
     if (ended || engine.connections().isSilent(channel)) {
       return;
     }
-    writer = SilentAnswer.INSTANCE;
     engine.batch().countDisconnect();
     stop(Outcome.CANCELLED);
   }
@@ -224,19 +216,14 @@
     if (start.isPresent() || ended || !engine.batch().withdraw(this)) {
       return;
     }
-    muteIfSilent();
     end(Outcome.CANCELLED);
     writer.refuse(EngineRefusal.DEADLINE_PASSED);
   }
 
-  private void keepAlive() {
-    muteIfSilent();
-    writer.keepAlive();
-  }
-
   private void end(Outcome outcome) {
     ended = true;
     keepAlive.cancel(false);
+    channel.closeFuture().removeListener(closeListener);
     engine.requests().end(request.requestId(), this);
     if (start.isEmpty()) {
       engine.batch().withdraw(this);
@@ -246,16 +233,6 @@
     engine.batch().release(start.get(), outcome == Outcome.FINISHED);
   }
 
-  private void muteIfSilent() {
-    if (engine.connections().isSilent(channel)) {
-      writer = SilentAnswer.INSTANCE;
-    }
-  }
-
-  private boolean has(StreamFault.Kind kind) {
-    return fault.filter(f -> f.kind() == kind).isPresent();
-  }
-
   private Duration pace() {
     return engine
         .faults()
--- /dev/null
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/engine/ReachableAnswer.java
@@ -0,0 +1,60 @@
+package org.guavagw.standins.engine;
+
+import io.netty.channel.Channel;
+import org.guavagw.standins.http.Connections;
+
+/**
+ * An answer that is written only while its connection is open and not silenced. Confined to one
+ * event loop.
+ */
+final class ReachableAnswer implements AnswerWriter {
+  private final AnswerWriter delegate;
+  private final Channel channel;
+  private final Connections connections;
+
+  ReachableAnswer(AnswerWriter delegate, Channel channel, Connections connections) {
+    this.delegate = delegate;
+    this.channel = channel;
+    this.connections = connections;
+  }
+
+  @Override
+  public void open() {
+    current().open();
+  }
+
+  @Override
+  public void keepAlive() {
+    current().keepAlive();
+  }
+
+  @Override
+  public void token(int index, String text) {
+    current().token(index, text);
+  }
+
+  @Override
+  public void flush() {
+    current().flush();
+  }
+
+  @Override
+  public void finish(Usage usage) {
+    current().finish(usage);
+  }
+
+  @Override
+  public void cut() {
+    current().cut();
+  }
+
+  @Override
+  public void refuse(EngineRefusal refusal) {
+    current().refuse(refusal);
+  }
+
+  private AnswerWriter current() {
+    boolean reachable = channel.isOpen() && !connections.isSilent(channel);
+    return reachable ? delegate : SilentAnswer.INSTANCE;
+  }
+}
--- a/guavagw-standins/src/main/java/org/guavagw/standins/http/LoopbackServer.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/http/LoopbackServer.java
@@ -1,5 +1,6 @@
 package org.guavagw.standins.http;
 
+import com.google.common.flogger.FluentLogger;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
 import io.jooby.Server;
@@ -8,31 +9,37 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
 import java.util.function.Consumer;
 
 /**
  * A Jooby server on Netty that listens on a loopback port and can be stopped and started again on
  * the same port. Handlers run on the event loop and must not block, unless the mode says worker.
  *
- * <p>Thread-safe; closing twice is harmless.
+ * <p>Netty's native transports share a port with another listener without an error, so a socket
+ * that is bound but never listens keeps the port reserved from construction to {@link #close}. With
+ * a transport that does not share ports, the reservation ends when the server first listens.
+ * Thread-safe; stopping and closing twice is harmless.
  */
 public final class LoopbackServer implements AutoCloseable {
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String HOST = "127.0.0.1";
   private static final int MAX_REQUEST_BYTES = 16 * 1024 * 1024;
 
   private final Consumer<Jooby> routes;
   private final ExecutionMode mode;
-  private final int ioThreads;
-  private final int port;
+  private final int threads;
+  private final Socket reservation = reservePort();
+  private final int port = reservation.getLocalPort();
   private Server server;
 
   /** Starts a server on a free port. */
-  public LoopbackServer(ExecutionMode mode, int ioThreads, Consumer<Jooby> routes) {
+  public LoopbackServer(ExecutionMode mode, int threads, Consumer<Jooby> routes) {
     this.routes = routes;
     this.mode = mode;
-    this.ioThreads = ioThreads;
-    this.port = freePort();
+    this.threads = threads;
     start();
   }
 
@@ -41,18 +48,22 @@
     return port;
   }
 
-  /** Listens again after {@link #close}; harmless when it listens already. */
+  /** Listens again after {@link #stop}; harmless when it listens already. */
   public synchronized void start() {
     if (server != null) {
       return;
     }
-    Jooby app = Jooby.createApp(new String[0], mode, this::newApp);
-    server = new NettyServer().setOptions(options()).start(app);
+    try {
+      server = listen();
+    } catch (Exception e) {
+      logger.atFine().withCause(e).log("giving up the reservation of port %d", port);
+      release();
+      server = listen();
+    }
   }
 
-  /** Closes the listener and every connection. */
-  @Override
-  public synchronized void close() {
+  /** Closes the listener and every connection, and keeps the port. */
+  public synchronized void stop() {
     if (server == null) {
       return;
     }
@@ -60,6 +71,25 @@
     server = null;
   }
 
+  @Override
+  public void close() {
+    stop();
+    release();
+  }
+
+  private Server listen() {
+    Jooby app = Jooby.createApp(new String[0], mode, this::newApp);
+    return new NettyServer().setOptions(options()).start(app);
+  }
+
+  private void release() {
+    try {
+      reservation.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   private Jooby newApp() {
     Jooby jooby = new Jooby();
     routes.accept(jooby);
@@ -71,15 +101,19 @@
     options.setHost(HOST);
     return options
         .setPort(port)
-        .setIoThreads(ioThreads)
-        .setWorkerThreads(ioThreads)
+        .setIoThreads(threads)
+        .setWorkerThreads(threads)
         .setDefaultHeaders(false)
         .setMaxRequestSize(MAX_REQUEST_BYTES);
   }
 
-  private static int freePort() {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
+  private static Socket reservePort() {
+    Socket socket = new Socket();
+    try {
+      socket.setReuseAddress(false);
+      socket.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+      socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      return socket;
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/guavagw-standins/src/main/java/org/guavagw/standins/wire/PlatformStandIn.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/wire/PlatformStandIn.java
@@ -86,7 +86,7 @@
   /** Closes the listener and all connections. */
   public void die() {
     connections.reset();
-    server.close();
+    server.stop();
   }
 
   /** Starts again on the same port. */
