--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
@@ -1,14 +1,21 @@
 package org.guavagw.internal.entry;
 
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 import org.guavagw.EntrySettings;
 import org.guavagw.config.BudgetConfig;
 import org.guavagw.config.TeamConfig;
 import org.guavagw.internal.billing.BillBook;
 import org.guavagw.internal.billing.BillSettings;
+import org.guavagw.internal.billing.BillSweeper;
 import org.guavagw.internal.billing.JournalId;
+import org.guavagw.internal.billing.UnknownOutcomeCharge;
 import org.guavagw.internal.budget.BudgetGate;
 import org.guavagw.internal.budget.BudgetSettings;
 import org.guavagw.internal.budget.SlicedBudgetGate;
@@ -20,6 +27,8 @@
 import org.guavagw.internal.lease.LeaseTerms;
 import org.guavagw.internal.lease.TableLeaseService;
 import org.guavagw.internal.lifecycle.Closer;
+import org.guavagw.internal.membership.Member;
+import org.guavagw.internal.membership.Rendezvous;
 import org.guavagw.internal.once.OnceRegistry;
 import org.guavagw.internal.once.OnceSettings;
 import org.guavagw.internal.once.TableOnceRegistry;
@@ -34,6 +43,11 @@
     TableLeaseService leases,
     DecisionLog decisions) {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String SWEEP_DUTY = "bill-sweeper";
+  private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(2);
+  private static final Duration SWEEP_DELAY = Duration.ofSeconds(5);
+
   /** Starts all parts; the closer stops them. */
   static DurableParts start(
       EntrySettings settings,
@@ -82,6 +96,7 @@
                 members,
                 clocks));
     bills.start();
+    startSweeping(platform, control, leases, background, clocks, closer);
     OnceRegistry once =
         new TableOnceRegistry(
             platform.table(),
@@ -92,6 +107,44 @@
     return new DurableParts(bills, budgets, once, leases, decisions);
   }
 
+  private static void startSweeping(
+      Platform platform,
+      ControlPlane control,
+      TableLeaseService leases,
+      ScheduledExecutorService background,
+      Clocks clocks,
+      Closer closer) {
+    BillSweeper sweeper =
+        new BillSweeper(
+            platform.table(),
+            leases,
+            (entry, incarnation) -> hasEnded(control, entry, incarnation),
+            UnknownOutcomeCharge.INPUT_ONLY,
+            SWEEP_DELAY,
+            clocks.monotonic());
+    long periodMs = SWEEP_INTERVAL.toMillis();
+    ScheduledFuture<?> sweeping =
+        background.scheduleWithFixedDelay(
+            () -> sweepIfChosen(control, sweeper), periodMs, periodMs, TimeUnit.MILLISECONDS);
+    closer.register(() -> sweeping.cancel(false));
+  }
+
+  private static void sweepIfChosen(ControlPlane control, BillSweeper sweeper) {
+    List<String> alive =
+        control.membership().members().stream().filter(Member::isAlive).map(Member::id).toList();
+    String self = control.membership().self().id();
+    if (Rendezvous.pick(SWEEP_DUTY, alive, 1).contains(self)) {
+      sweeper
+          .sweep()
+          .peekLeft(f -> logger.atInfo().atMostEvery(1, TimeUnit.MINUTES).log("not swept: %s", f));
+    }
+  }
+
+  private static boolean hasEnded(ControlPlane control, String entry, long incarnation) {
+    Optional<Member> member = control.membership().member(entry);
+    return member.isEmpty() || member.get().incarnation() > incarnation;
+  }
+
   private static long budgetOf(ConfigSource configs, String team) {
     return configs
         .current()
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -65,7 +65,7 @@
   private final long startedNanos = clocks.monotonic().read();
   private volatile boolean leaving;
 
-  private RunningEntry(EntrySettings settings, Platform platform) {
+  private RunningEntry(EntrySettings settings, Platform platform, EntryHooks hooks) {
     this.settings = settings;
     MetricRegistry metrics = new MetricRegistry();
     ScheduledExecutorService background = startThreads("background", BACKGROUND_THREADS);
@@ -81,9 +81,22 @@
     TableSessionPins pins = startPins(platform, background);
     TrafficParts.Collaborators others =
         new TrafficParts.Collaborators(
-            metrics, permits, pins, rollouts::observe, () -> control.membership().members().size());
+            metrics,
+            hooks.permits().apply(permits),
+            hooks.pins().apply(pins),
+            rollouts::observe,
+            () -> control.membership().members().size(),
+            hooks);
     TrafficParts traffic =
-        TrafficParts.create(settings, platform, configs, durable, others, json, clocks, closer);
+        TrafficParts.create(
+            settings,
+            platform,
+            hooks.configs().apply(configs),
+            durable,
+            others,
+            json,
+            clocks,
+            closer);
     this.loadReports =
         closer.register(
             LoadReportFeed.start(control.loads(), configs, traffic, background, clocks));
@@ -96,7 +109,12 @@
 
   /** Starts an entry. */
   public static RunningEntry start(EntrySettings settings, Platform platform) {
-    return new RunningEntry(settings, platform);
+    return new RunningEntry(settings, platform, EntryHooks.NONE);
+  }
+
+  /** Starts an entry with some mechanisms wrapped. */
+  public static RunningEntry start(EntrySettings settings, Platform platform, EntryHooks hooks) {
+    return new RunningEntry(settings, platform, hooks);
   }
 
   /** Port for callers. */
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
@@ -85,7 +85,7 @@
             new SampledPlacement(views, ThreadLocalRandom::current),
             others.permits(),
             new RetryBudget(),
-            new HttpEngineClient(connections),
+            others.hooks().engines().apply(new HttpEngineClient(connections)),
             others.outcomes(),
             clocks,
             settings.dataCentre());
@@ -120,7 +120,8 @@
         new ServiceDispatchFilter(dispatch, new HttpServiceClient(connections));
     return new TrafficParts(
         shared.chat(routing),
-        shared.service(new OnceFilter(configs, durable.once()), services),
+        shared.service(
+            new OnceFilter(configs, others.hooks().once().apply(durable.once())), services),
         shared.authenticate(),
         views,
         pools,
@@ -163,5 +164,6 @@
       PermitService permits,
       SessionPins pins,
       Consumer<VersionOutcome> outcomes,
-      IntSupplier members) {}
+      IntSupplier members,
+      EntryHooks hooks) {}
 }
