--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/BenchCommand.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/BenchCommand.java
@@ -4,12 +4,13 @@
 import java.util.Arrays;
 import java.util.Map;
 import org.guavagw.cli.Program;
+import org.guavagw.cli.bench.relay.RelayBench;
 
 /** Chooses a bench by name. Stateless. */
 public final class BenchCommand {
   private static final int USAGE_EXIT_CODE = 2;
   private static final Map<String, Program> BENCHES =
-      ImmutableSortedMap.of("policy", PolicyBench::run);
+      ImmutableSortedMap.of("policy", PolicyBench::run, "relay", RelayBench::run);
 
   private BenchCommand() {}
 
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckCommand.java
@@ -0,0 +1,111 @@
+package org.guavagw.cli.check;
+
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.guavagw.cli.bench.Deployment;
+import org.guavagw.cli.local.DeploymentPlan;
+import org.guavagw.internal.entry.EntryHooks;
+import org.guavagw.standins.history.Event;
+import org.guavagw.standins.history.History;
+import org.guavagw.standins.history.Violation;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Checks the promises over runs with faults that follow from seeds. */
+public final class CheckCommand {
+  private static final int EXIT_CLEAN = 0;
+  private static final int EXIT_VIOLATION = 1;
+  private static final int EXIT_USAGE = 2;
+  private static final int MAX_PRINTED = 20;
+
+  @Option(name = "--deployment", usage = "nile-basin or swap-association")
+  private String deployment = "nile-basin";
+
+  @Option(name = "--seed", usage = "seed of the first run")
+  private long seed = 1;
+
+  @Option(name = "--runs", usage = "how many runs, each with the next seed")
+  private int runs = 1;
+
+  @Option(name = "--seconds", usage = "how long faults strike in each run")
+  private int seconds = 12;
+
+  @Option(name = "--callers", usage = "how many requests at once")
+  private int callers = 12;
+
+  @Option(name = "--faults", usage = "how many faults in each run")
+  private int faults = 8;
+
+  @Option(name = "--mutation", usage = "a mechanism to switch off, to see it missed")
+  private String mutation = "";
+
+  private CheckCommand() {}
+
+  /** Runs the checks and gives the exit code. */
+  public static int run(String... args) {
+    CheckCommand command = new CheckCommand();
+    CmdLineParser parser = new CmdLineParser(command);
+    try {
+      parser.parseArgument(args);
+      return command.run(System.out);
+    } catch (CmdLineException e) {
+      System.err.println(e.getMessage());
+      parser.printUsage(System.err);
+      return EXIT_USAGE;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return EXIT_VIOLATION;
+    }
+  }
+
+  private int run(PrintStream out) throws InterruptedException {
+    Optional<Deployment> known = Deployment.of(deployment);
+    Optional<EntryHooks> hooks = Mutations.find(mutation);
+    if (known.isEmpty() || hooks.isEmpty()) {
+      System.err.println("unknown deployment or mutation; mutations: " + Mutations.names());
+      return EXIT_USAGE;
+    }
+    int violations = 0;
+    for (long s = seed; s < seed + runs; s++) {
+      CheckSettings settings =
+          new CheckSettings(
+              DeploymentPlan.of(known.get()).small(),
+              s,
+              Duration.ofSeconds(seconds),
+              callers,
+              faults,
+              hooks.get());
+      CheckResult result = new CheckRun(settings).run();
+      print(out, result);
+      violations += result.violations().size();
+    }
+    out.printf("%d runs, %d violations%n", runs, violations);
+    return violations == 0 ? EXIT_CLEAN : EXIT_VIOLATION;
+  }
+
+  private static void print(PrintStream out, CheckResult result) {
+    History history = result.history();
+    out.printf(
+        "seed %d: %d answered, %d refused, %d cut, %d executions, %d bills, faults %s%n",
+        result.seed(),
+        history.of(Event.CallerAnswered.class).size(),
+        history.of(Event.CallerRefused.class).size(),
+        history.of(Event.CallerCut.class).size(),
+        history.of(Event.ExecutionStarted.class).size(),
+        history.of(Event.BillWritten.class).size(),
+        result.faults());
+    Map<String, Integer> counts = new TreeMap<>();
+    result.violations().forEach(v -> counts.merge(v.promise().name(), 1, Integer::sum));
+    counts.forEach((promise, count) -> out.printf("  %s: %d violations%n", promise, count));
+    result.violations().stream().limit(MAX_PRINTED).forEach(v -> print(out, v));
+  }
+
+  private static void print(PrintStream out, Violation violation) {
+    out.printf(
+        "    %s %s: %s%n", violation.promise(), violation.reason(), violation.event().event());
+  }
+}
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckSettings.java
@@ -0,0 +1,15 @@
+package org.guavagw.cli.check;
+
+import java.time.Duration;
+import org.guavagw.cli.local.DeploymentPlan;
+import org.guavagw.internal.entry.EntryHooks;
+
+/**
+ * One checked run. Immutable.
+ *
+ * @param callers how many requests are under way at once
+ * @param faults how many faults strike
+ * @param hooks mechanisms that are wrapped
+ */
+public record CheckSettings(
+    DeploymentPlan plan, long seed, Duration length, int callers, int faults, EntryHooks hooks) {}
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/Faults.java
@@ -0,0 +1,195 @@
+package org.guavagw.cli.check;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.guavagw.cli.local.DeploymentConfig;
+import org.guavagw.cli.local.LocalDeployment;
+import org.guavagw.config.ConfigEdits;
+import org.guavagw.config.DataCentreState;
+import org.guavagw.config.RolloutState;
+import org.guavagw.config.VersionRef;
+import org.guavagw.config.VersionState;
+import org.guavagw.standins.engine.EngineStandIn;
+import org.guavagw.standins.engine.StreamFault;
+import org.guavagw.standins.fault.FaultRates;
+import org.guavagw.standins.history.Event;
+import org.guavagw.standins.service.PlainServiceStandIn;
+import org.guavagw.standins.service.ServiceFault;
+
+/** The faults that a checked run draws from. Stateless. */
+final class Faults {
+  private static final VersionRef SPARE = new VersionRef(DeploymentConfig.SMALL, "v2");
+
+  private Faults() {}
+
+  /** Draws a fault. */
+  static Fault draw(UniformRandomProvider random) {
+    List<Fault> all = new ArrayList<>(List.of(tableDown(), tableAnswersLost(), ratingsDown()));
+    all.addAll(engineFaults(random.nextInt(1_000)));
+    all.addAll(ledgerFaults(random.nextInt(1_000)));
+    all.addAll(entryFaults(random.nextInt(1_000)));
+    all.addAll(operatorActs(random.nextInt(1_000)));
+    return all.get(random.nextInt(all.size()));
+  }
+
+  private static List<Fault> engineFaults(int pick) {
+    return List.of(
+        engine("engine dies and comes back", pick, Faults::dieAndRevive),
+        new NamedFault("engine turns cold", d -> turnCold(d, pick)),
+        engine("stream is reset", pick, e -> hit(e, StreamFault.Kind.RESET)),
+        engine("answer ends halfway", pick, e -> hit(e, StreamFault.Kind.HALF_ANSWER)),
+        engine("stream goes silent", pick, e -> hit(e, StreamFault.Kind.SILENCE)),
+        engine("answers are crossed", pick, e -> hit(e, StreamFault.Kind.CROSSED)),
+        engine("open connections go silent", pick, EngineStandIn::silenceOpenConnections),
+        engine("engine refuses", pick, e -> during(800, e.faults()::refuse)));
+  }
+
+  private static List<Fault> ledgerFaults(int pick) {
+    return List.of(
+        ledger("service is cut after the run", pick, ServiceFault.RESET_AFTER_RUN),
+        ledger("service is cut before the run", pick, ServiceFault.RESET_BEFORE_RUN),
+        ledger("service refuses", pick, ServiceFault.REFUSE),
+        ledger("service fails after the run", pick, ServiceFault.FAIL_AFTER_RUN));
+  }
+
+  private static List<Fault> entryFaults(int pick) {
+    return List.of(
+        new NamedFault("entry is killed", d -> d.killAndReplace(entry(d, pick))),
+        new NamedFault("entry is replaced", d -> d.replaceGracefully(entry(d, pick))));
+  }
+
+  private static List<Fault> operatorActs(int pick) {
+    return List.of(
+        new NamedFault("data centre goes out and back", d -> outAndBack(d, pick)),
+        new NamedFault("version is withdrawn", Faults::withdraw),
+        new NamedFault("rollout moves on", Faults::advanceRollout),
+        new NamedFault("backend server leaves and returns", d -> leaveAndReturn(d, pick)));
+  }
+
+  private static Fault tableDown() {
+    return new NamedFault(
+        "table service is down", d -> during(1_500, d.local().table().faults()::down));
+  }
+
+  private static Fault tableAnswersLost() {
+    return new NamedFault(
+        "table service loses answers",
+        d ->
+            during(
+                1_500,
+                on ->
+                    d.local()
+                        .table()
+                        .faults()
+                        .rates(on ? new FaultRates(0.05, 0.1, 0.2) : FaultRates.NONE)));
+  }
+
+  private static Fault ratingsDown() {
+    return new NamedFault(
+        "rating service is down", d -> during(1_500, d.local().ratings().faults()::down));
+  }
+
+  /** Something that can be switched on and off. */
+  private interface Switch {
+    void set(boolean on);
+  }
+
+  private static void during(long millis, Switch fault) throws InterruptedException {
+    fault.set(true);
+    try {
+      TimeUnit.MILLISECONDS.sleep(millis);
+    } finally {
+      fault.set(false);
+    }
+  }
+
+  /** What happens to one engine. */
+  private interface EngineAction {
+    void run(EngineStandIn engine) throws InterruptedException;
+  }
+
+  private static Fault engine(String name, int pick, EngineAction action) {
+    return new NamedFault(name, d -> action.run(engineOf(d, pick).getValue()));
+  }
+
+  private static Map.Entry<String, EngineStandIn> engineOf(CheckedDeployment d, int pick) {
+    List<Map.Entry<String, EngineStandIn>> all = List.copyOf(d.local().engines().entrySet());
+    return all.get(pick % all.size());
+  }
+
+  private static void hit(EngineStandIn engine, StreamFault.Kind kind) {
+    for (int chunks = 0; chunks < 6; chunks++) {
+      engine.faults().hitNext(new StreamFault(kind, chunks));
+    }
+  }
+
+  private static void turnCold(CheckedDeployment d, int pick) {
+    Map.Entry<String, EngineStandIn> chosen = engineOf(d, pick);
+    d.recorder().record(new Event.ServerTurnedCold(chosen.getKey()));
+    chosen.getValue().turnCold();
+  }
+
+  private static void dieAndRevive(EngineStandIn engine) throws InterruptedException {
+    engine.die();
+    TimeUnit.MILLISECONDS.sleep(700);
+    engine.revive();
+  }
+
+  private static Fault ledger(String name, int pick, ServiceFault fault) {
+    return new NamedFault(
+        name,
+        d -> {
+          List<PlainServiceStandIn> all = List.copyOf(d.local().ledgers().values());
+          PlainServiceStandIn service = all.get(pick % all.size());
+          service.faults().hitNext(fault);
+          service.faults().hitNext(fault);
+        });
+  }
+
+  private static LocalDeployment.RunningMember entry(CheckedDeployment d, int pick) {
+    List<LocalDeployment.RunningMember> all = d.local().entries();
+    return all.get(pick % all.size());
+  }
+
+  private static void outAndBack(CheckedDeployment d, int pick) throws InterruptedException {
+    var centres = d.local().plan().dataCentres();
+    String id = centres.get(pick % centres.size()).id();
+    d.apply(
+        c -> ConfigEdits.setDataCentreState(c, id, DataCentreState.OUT),
+        new Event.DataCentreOut(id));
+    TimeUnit.MILLISECONDS.sleep(5_000);
+    d.apply(
+        c -> ConfigEdits.setDataCentreState(c, id, DataCentreState.IN), new Event.DataCentreIn(id));
+  }
+
+  private static void withdraw(CheckedDeployment d) throws InterruptedException {
+    d.apply(
+        c ->
+            ConfigEdits.moveRollout(
+                ConfigEdits.setVersionState(c, SPARE, VersionState.WITHDRAWN),
+                "small-v2",
+                0,
+                RolloutState.ABORTED),
+        new Event.VersionWithdrawn(SPARE));
+  }
+
+  private static void advanceRollout(CheckedDeployment d) throws InterruptedException {
+    d.apply(
+        c ->
+            c.rollouts().stream()
+                .filter(r -> r.state() == RolloutState.RUNNING && r.stage() == 0)
+                .findFirst()
+                .map(r -> ConfigEdits.moveRollout(c, r.id(), 1, RolloutState.RUNNING))
+                .orElse(c));
+  }
+
+  private static void leaveAndReturn(CheckedDeployment d, int pick) throws InterruptedException {
+    String id = engineOf(d, pick).getKey();
+    d.apply(c -> ConfigEdits.setLeaving(c, id, true), new Event.ServerLeaving(id));
+    TimeUnit.MILLISECONDS.sleep(5_000);
+    d.apply(c -> ConfigEdits.setLeaving(c, id, false), new Event.ServerJoined(id));
+  }
+}
--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/Mutations.java
@@ -0,0 +1,114 @@
+package org.guavagw.cli.check;
+
+import com.google.common.collect.ImmutableSortedMap;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import org.guavagw.config.VersionRef;
+import org.guavagw.internal.config.ConfigSource;
+import org.guavagw.internal.config.RevisionedConfig;
+import org.guavagw.internal.entry.EntryHooks;
+import org.guavagw.internal.once.ClaimResult;
+import org.guavagw.internal.once.OnceClaim;
+import org.guavagw.internal.once.OnceFailure;
+import org.guavagw.internal.once.OnceKey;
+import org.guavagw.internal.once.OnceRegistry;
+import org.guavagw.internal.once.StoredOutcome;
+import org.guavagw.internal.permit.Permit;
+import org.guavagw.internal.permit.PermitRefusal;
+import org.guavagw.internal.permit.PermitService;
+import org.guavagw.internal.session.SessionPins;
+
+/** Mechanisms that a check can switch off to show that it would notice. Stateless. */
+final class Mutations {
+  private static final Map<String, EntryHooks> ALL =
+      ImmutableSortedMap.of(
+          "", EntryHooks.NONE,
+          "no-claims", EntryHooks.NONE.withOnce(r -> new NoClaims()),
+          "no-permits", EntryHooks.NONE.withPermits(p -> new NoPermits()),
+          "no-pins", EntryHooks.NONE.withPins(p -> new NoPins()),
+          "stale-config", EntryHooks.NONE.withConfigs(FirstConfig::new));
+
+  private Mutations() {}
+
+  static Optional<EntryHooks> find(String name) {
+    return Optional.ofNullable(ALL.get(name));
+  }
+
+  static Set<String> names() {
+    return ALL.keySet();
+  }
+
+  /** Lets every call run. */
+  private static final class NoClaims implements OnceRegistry {
+    @Override
+    public Either<OnceFailure, ClaimResult> claim(
+        OnceKey key, String requestFingerprint, String requestId) {
+      return Either.right(new ClaimResult.Claimed(new OnceClaim(key, requestId)));
+    }
+
+    @Override
+    public Either<OnceFailure, Void> complete(OnceClaim claim, StoredOutcome outcome) {
+      return Either.right(null);
+    }
+
+    @Override
+    public Either<OnceFailure, Void> abandon(OnceClaim claim) {
+      return Either.right(null);
+    }
+  }
+
+  /** Grants every permit. */
+  private static final class NoPermits implements PermitService {
+    @Override
+    public Either<PermitRefusal, Permit> acquire(
+        String backendServer, Duration timeLeft, Duration patience) {
+      return Either.right(new FreePermit());
+    }
+  }
+
+  /** A permit that nobody counts. */
+  private static final class FreePermit implements Permit {
+    @Override
+    public boolean isSafe() {
+      return true;
+    }
+
+    @Override
+    public void close() {
+      // nothing is counted
+    }
+  }
+
+  /** Forgets every session. */
+  private static final class NoPins implements SessionPins {
+    @Override
+    public Optional<String> find(String team, String sessionId, String model) {
+      return Optional.empty();
+    }
+
+    @Override
+    public VersionRef pin(String team, String sessionId, VersionRef version, boolean replace) {
+      return version;
+    }
+  }
+
+  /** Decides for good by the first configuration that it saw. */
+  private static final class FirstConfig implements ConfigSource {
+    private final ConfigSource source;
+    private final AtomicReference<RevisionedConfig> first =
+        new AtomicReference<>(RevisionedConfig.NONE);
+
+    FirstConfig(ConfigSource source) {
+      this.source = source;
+    }
+
+    @Override
+    public RevisionedConfig current() {
+      return first.updateAndGet(f -> f.revision() > 0 ? f : source.current());
+    }
+  }
+}
--- a/guavagw-cli/src/main/java/org/guavagw/cli/demo/DemoCommand.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/demo/DemoCommand.java
@@ -7,7 +7,7 @@
 import org.guavagw.cli.bench.Deployment;
 import org.guavagw.cli.local.DeploymentPlan;
 import org.guavagw.cli.local.LocalDeployment;
-import org.guavagw.standins.engine.QualityModel;
+import org.guavagw.cli.local.LocalOptions;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
@@ -57,8 +57,8 @@
       return EXIT_USAGE;
     }
     DeploymentPlan plan = DeploymentPlan.of(known.get());
-    QualityModel quality = DemoQuality.of(seed);
-    try (LocalDeployment local = new LocalDeployment(plan, quality, seed)) {
+    LocalOptions options = LocalOptions.standard(seed).withQuality(DemoQuality.of(seed));
+    try (LocalDeployment local = new LocalDeployment(plan, options)) {
       if (!local.awaitReady(START_LIMIT)) {
         System.err.println("the entries did not become ready");
         return EXIT_BROKEN_PROMISE;
--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/CallerClient.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/CallerClient.java
@@ -5,6 +5,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Function;
 import okhttp3.Dispatcher;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -50,7 +52,10 @@
       request.header("X-Session-Id", call.sessionId());
     }
     String prompt = Prompts.text(body.get("messages"));
-    return send(request.build(), response -> readChat(response, call, prompt));
+    return send(
+        request.build(),
+        response -> call.stream() ? readStream(response) : readWhole(response),
+        id -> text -> judge(id, prompt, call.maxTokens(), text));
   }
 
   /** Posts to a plain service through an entry, under a key that marks repeats. */
@@ -63,7 +68,8 @@
             .header("Idempotency-Key", key)
             .post(RequestBody.create(content, JSON))
             .build();
-    return send(request, response -> Kind.ANSWERED);
+    return send(
+        request, response -> Optional.of(response.body().string()), id -> text -> Kind.ANSWERED);
   }
 
   @Override
@@ -72,54 +78,56 @@
     http.connectionPool().evictAll();
   }
 
-  /** Judges a response that was not refused. */
+  /** Reads the text of a response that was not refused; nothing if the answer was cut. */
   private interface Reader {
-    Kind read(Response response) throws IOException;
+    Optional<String> read(Response response) throws IOException;
   }
 
-  private CallerResult send(Request request, Reader reader) {
+  private CallerResult send(Request request, Reader reader, Judge judge) {
     long start = System.nanoTime();
     String requestId = "";
     try (Response response = http.newCall(request).execute()) {
       requestId = response.header("X-Request-Id", "");
       if (response.header("X-Guavagw-Run-State") != null) {
-        JsonNode error = json.readTree(response.body().byteStream()).path("error");
-        return result(Kind.REFUSED, response, error, start);
+        return refused(response, start);
       }
-      return result(reader.read(response), response, json.createObjectNode(), start);
+      Optional<String> text = reader.read(response);
+      Kind kind = text.map(judge.of(requestId)).orElse(Kind.CUT);
+      return new CallerResult(
+          kind, requestId, "", "", versionOf(response), text.orElse(""), since(start));
     } catch (IOException e) {
-      return new CallerResult(Kind.CUT, requestId, "", "", "", since(start));
+      return new CallerResult(Kind.CUT, requestId, "", "", "", "", since(start));
     }
   }
 
-  private CallerResult result(Kind kind, Response response, JsonNode error, long start) {
-    String model = response.header("X-Guavagw-Model", "");
-    String version = model.isEmpty() ? "" : model + '@' + response.header("X-Guavagw-Version", "");
+  /** Judges the text of an answer to a request. */
+  private interface Judge {
+    Function<String, Kind> of(String requestId);
+  }
+
+  private CallerResult refused(Response response, long start) throws IOException {
+    JsonNode error = json.readTree(response.body().byteStream()).path("error");
     return new CallerResult(
-        kind,
+        Kind.REFUSED,
         response.header("X-Request-Id", ""),
         error.path("code").asText(""),
         error.path("run_state").asText(""),
-        version,
+        "",
+        "",
         since(start));
   }
 
-  private Kind readChat(Response response, ChatCall call, String prompt) throws IOException {
-    String text = call.stream() ? readStream(response) : readWhole(response);
-    if (text == null) {
-      return Kind.CUT;
-    }
-    String requestId = response.header("X-Request-Id", "");
-    boolean whole = AnswerText.isWhole(requestId, prompt, call.maxTokens(), text);
-    return whole ? Kind.ANSWERED : Kind.WRONG;
+  private static String versionOf(Response response) {
+    String model = response.header("X-Guavagw-Model", "");
+    return model.isEmpty() ? "" : model + '@' + response.header("X-Guavagw-Version", "");
   }
 
-  private String readWhole(Response response) throws IOException {
+  private Optional<String> readWhole(Response response) throws IOException {
     JsonNode root = json.readTree(response.body().byteStream());
-    return root.path("choices").path(0).path("message").path("content").asText();
+    return Optional.of(root.path("choices").path(0).path("message").path("content").asText());
   }
 
-  private String readStream(Response response) throws IOException {
+  private Optional<String> readStream(Response response) throws IOException {
     BufferedSource source = response.body().source();
     StringBuilder text = new StringBuilder();
     while (!source.exhausted()) {
@@ -129,12 +137,16 @@
       }
       String data = line.substring(DATA_PREFIX.length());
       if (data.equals(END_MARK)) {
-        return text.toString();
+        return Optional.of(text.toString());
       }
       JsonNode chunk = json.readTree(data);
       text.append(chunk.path("choices").path(0).path("delta").path("content").asText(""));
     }
-    return null;
+    return Optional.empty();
+  }
+
+  private static Kind judge(String requestId, String prompt, int tokens, String text) {
+    return AnswerText.isWhole(requestId, prompt, tokens, text) ? Kind.ANSWERED : Kind.WRONG;
   }
 
   private static Duration since(long startNanos) {
--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/CallerResult.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/CallerResult.java
@@ -10,9 +10,16 @@
  * @param code stable code of a refusal; empty for an answer
  * @param runState what a refusal said about execution; empty for an answer
  * @param version model and version that the answer's headers named; empty if none
+ * @param text text of an answer, as far as it came
  */
 public record CallerResult(
-    Kind kind, String requestId, String code, String runState, String version, Duration took) {
+    Kind kind,
+    String requestId,
+    String code,
+    String runState,
+    String version,
+    String text,
+    Duration took) {
 
   /** How a request ended for its caller. */
   public enum Kind {
--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/DeploymentPlan.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/DeploymentPlan.java
@@ -61,4 +61,13 @@
   public int entryCount() {
     return dataCentres.stream().mapToInt(DataCentrePlan::entries).sum();
   }
+
+  /** The same deployment with one entry and at most two engines in each data centre. */
+  public DeploymentPlan small() {
+    List<DataCentrePlan> fewer =
+        dataCentres.stream()
+            .map(d -> new DataCentrePlan(d.id(), 1, Math.min(2, d.engines()), 1))
+            .toList();
+    return new DeploymentPlan(deployment, region, fewer, lookupClass, reportClass, ledger, post);
+  }
 }
--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/LocalDeployment.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/LocalDeployment.java
@@ -9,20 +9,19 @@
 import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import org.guavagw.Entry;
 import org.guavagw.EntrySettings;
 import org.guavagw.config.BackendServerConfig;
 import org.guavagw.config.GatewayConfig;
 import org.guavagw.config.VersionRef;
 import org.guavagw.internal.config.ConfigChange;
 import org.guavagw.internal.config.TableConfigHistory;
+import org.guavagw.internal.entry.RunningEntry;
 import org.guavagw.internal.lifecycle.Closer;
 import org.guavagw.platform.Platform;
 import org.guavagw.platform.Vm;
 import org.guavagw.standins.engine.EngineSettings;
 import org.guavagw.standins.engine.EngineStandIn;
 import org.guavagw.standins.engine.ExecutionLog;
-import org.guavagw.standins.engine.QualityModel;
 import org.guavagw.standins.platform.FaultyObjectStore;
 import org.guavagw.standins.platform.InMemoryObjectStore;
 import org.guavagw.standins.platform.LaggingVmList;
@@ -49,6 +48,7 @@
 
   private final Closer closer = new Closer();
   private final DeploymentPlan plan;
+  private final LocalOptions options;
   private final ExecutionLog executions = new ExecutionLog();
   private final ServiceCallLog calls = new ServiceCallLog();
   private final Map<String, EngineStandIn> engines = new TreeMap<>();
@@ -62,11 +62,13 @@
   private final TableConfigHistory history;
 
   /** An entry and the VM that it runs on; immutable. */
-  public record RunningMember(Vm vm, Entry entry) {}
+  public record RunningMember(Vm vm, RunningEntry entry) {}
 
   /** Starts stand-ins, applies the plan's configuration and starts the entries. */
-  public LocalDeployment(DeploymentPlan plan, QualityModel quality, long seed) {
+  public LocalDeployment(DeploymentPlan plan, LocalOptions options) {
     this.plan = plan;
+    this.options = options;
+    long seed = options.seed();
     this.table = new FaultyTableService(new InMemoryTableService(), seed);
     this.vms = new LaggingVmList(Ticker.systemTicker(), VM_LIST_LAG, List.of());
     this.ratings = new RatingStandIn(0.02, seed);
@@ -78,7 +80,7 @@
             ratings,
             new RateLimitedWeightStore(Ticker.systemTicker(), 10, Duration.ofMinutes(1)));
     this.history = new TableConfigHistory(table, InstantSource.system());
-    plan.dataCentres().forEach(d -> startServers(d, quality));
+    plan.dataCentres().forEach(this::startServers);
     apply("initial", DeploymentConfig.of(plan, servers));
     plan.dataCentres().forEach(this::startEntries);
   }
@@ -128,6 +130,13 @@
     return history;
   }
 
+  /** Data centre of each backend server. */
+  public Map<String, String> dataCentreOfServers() {
+    Map<String, String> places = new TreeMap<>();
+    servers.forEach(s -> places.put(s.id(), s.dataCentre()));
+    return places;
+  }
+
   /** Accepts a configuration and gives its revision. */
   public long apply(String changeId, GatewayConfig config) {
     long expected = history.latest().get().revision();
@@ -146,7 +155,7 @@
             .balancerLag(BALANCER_LAG)
             .shutdownLimit(SHUTDOWN_LIMIT)
             .build();
-    Entry entry = Entry.start(settings, platform);
+    RunningEntry entry = RunningEntry.start(settings, platform, options.hooks());
     RunningMember member =
         new RunningMember(new Vm(id, dataCentre, HOST, entry.controlPort(), false), entry);
     entries.add(member);
@@ -184,9 +193,9 @@
     }
   }
 
-  private void startServers(DeploymentPlan.DataCentrePlan centre, QualityModel quality) {
+  private void startServers(DeploymentPlan.DataCentrePlan centre) {
     for (int i = 0; i < centre.engines(); i++) {
-      startEngine("engine-" + centre.id() + "-" + i, centre.id(), quality);
+      startEngine("engine-" + centre.id() + "-" + i, centre.id());
     }
     for (int i = 0; i < centre.ledgers(); i++) {
       String id = "ledger-" + centre.id() + "-" + i;
@@ -196,17 +205,21 @@
     }
   }
 
-  private void startEngine(String id, String dataCentre, QualityModel quality) {
+  private void startEngine(String id, String dataCentre) {
     VersionRef[] versions = DeploymentConfig.versions().toArray(VersionRef[]::new);
     EngineStandIn engine =
-        closer.register(new EngineStandIn(EngineSettings.of(id, versions), executions, quality));
+        closer.register(
+            new EngineStandIn(
+                EngineSettings.of(id, versions).withBatch(options.batch()),
+                executions,
+                options.quality()));
     engines.put(id, engine);
     servers.add(server(id, dataCentre, engine.port(), DeploymentConfig.versions()));
   }
 
-  private static BackendServerConfig server(
+  private BackendServerConfig server(
       String id, String dataCentre, int port, List<VersionRef> versions) {
-    int slots = EngineSettings.of(id).batch().slots();
+    int slots = options.batch().slots();
     return new BackendServerConfig(
         id, dataCentre, HOST, port, versions, slots, COLD_SLOTS, true, true, false);
   }
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -14,6 +14,7 @@
 import org.guavagw.EntrySettings;
 import org.guavagw.config.RolloutState;
 import org.guavagw.internal.config.ConfigHolder;
+import org.guavagw.internal.config.RevisionedConfig;
 import org.guavagw.internal.config.TableConfigHistory;
 import org.guavagw.internal.control.ControlPlane;
 import org.guavagw.internal.control.ControlSettings;
@@ -137,6 +138,11 @@
     return configs.current().revision();
   }
 
+  /** The configuration in force. */
+  public RevisionedConfig configuration() {
+    return configs.current();
+  }
+
   /** Whether the balancer should send requests. */
   public boolean isReady() {
     return !leaving && revision() > 0 && knowsBackendServers();
