--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/CallerClient.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/CallerClient.java
@@ -87,7 +87,7 @@
     long start = System.nanoTime();
     String requestId = "";
     try (Response response = http.newCall(request).execute()) {
-      requestId = response.header("X-Request-Id", "");
+      requestId = requestIdOf(response);
       if (response.header("X-Guavagw-Run-State") != null) {
         return refused(response, start);
       }
@@ -117,6 +117,11 @@
         since(start));
   }
 
+  /** The request that ran: for a repeat of a call, the one whose answer was kept. */
+  private static String requestIdOf(Response response) {
+    return response.header("X-Guavagw-Replay-Of", response.header("X-Request-Id", ""));
+  }
+
   private static String versionOf(Response response) {
     String model = response.header("X-Guavagw-Model", "");
     return model.isEmpty() ? "" : model + '@' + response.header("X-Guavagw-Version", "");
--- a/guavagw-core/src/main/java/org/guavagw/Refusal.java
+++ b/guavagw-core/src/main/java/org/guavagw/Refusal.java
@@ -30,4 +30,9 @@
   public static Refusal after(RefusalCode code, RunState runState, String reason) {
     return new Refusal(code, runState, reason, Optional.empty());
   }
+
+  /** The same refusal of a request that earlier attempts may have run. */
+  public Refusal afterEarlier(RunState earlier) {
+    return new Refusal(code, runState.join(earlier), reason, retryAfter);
+  }
 }
--- a/guavagw-core/src/main/java/org/guavagw/RunState.java
+++ b/guavagw-core/src/main/java/org/guavagw/RunState.java
@@ -17,6 +17,14 @@
     this.wireName = wireName;
   }
 
+  /** What is known of a request after two attempts. */
+  public RunState join(RunState other) {
+    if (this == RAN || other == RAN) {
+      return RAN;
+    }
+    return this == UNKNOWN || other == UNKNOWN ? UNKNOWN : NOT_RUN;
+  }
+
   /** The stable form that callers see. */
   @JsonValue
   public String wireName() {
--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ChatAttempts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ChatAttempts.java
@@ -92,7 +92,7 @@
     }
     Either<Refusal, Void> allowed = parts.guard().checkVersion(exchange.requireTeam(), pick.ref());
     if (allowed.isLeft()) {
-      return Either.left(withRunState(allowed.getLeft()));
+      return Either.left(allowed.getLeft().afterEarlier(runState));
     }
     return parts.placement().choose(query()).mapLeft(this::refusalFor);
   }
@@ -127,11 +127,11 @@
     exchange.trace().excluded(CandidateKind.BACKEND_SERVER, id, ExclusionRule.COLD_START);
     lastRefusal =
         Optional.of(
-            withRunState(
-                Refusal.notRun(
+            Refusal.notRun(
                     RefusalCode.OVERLOADED,
                     "the backend servers that are left are in cold start and have no room",
-                    refusal.retryAfter())));
+                    refusal.retryAfter())
+                .afterEarlier(runState));
   }
 
   private AttemptResult attempt(BackendServerConfig server, Optional<Permit> permit) {
@@ -177,7 +177,7 @@
   private void noteFailure(Placement placement, AttemptResult.Failed failed) {
     excluded.add(placement.server().id());
     EngineFailure failure = failed.failure();
-    runState = RunStates.join(runState, failure.runState());
+    runState = runState.join(failure.runState());
     RefusalCode code =
         switch (failure.kind()) {
           case NOT_SENT -> RefusalCode.NO_BACKEND;
@@ -191,16 +191,11 @@
   }
 
   private Refusal refusalFor(NoBackend none) {
-    return withRunState(
-        Refusal.notRun(
+    return Refusal.notRun(
             RefusalCode.NO_BACKEND,
             "no backend server can take \"" + pick.ref() + "\" now",
-            none.retryAfter()));
-  }
-
-  private Refusal withRunState(Refusal refusal) {
-    RunState joined = RunStates.join(runState, refusal.runState());
-    return new Refusal(refusal.code(), joined, refusal.reason(), refusal.retryAfter());
+            none.retryAfter())
+        .afterEarlier(runState);
   }
 
   private Duration timeLeft() {
--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ServiceAttempts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ServiceAttempts.java
@@ -166,7 +166,7 @@
 
   private void noteFailure(BackendServerConfig server, EngineFailure failure) {
     excluded.add(server.id());
-    runState = RunStates.join(runState, failure.runState());
+    runState = runState.join(failure.runState());
     RefusalCode code =
         runState == RunState.NOT_RUN ? RefusalCode.NO_BACKEND : RefusalCode.OUTCOME_UNKNOWN;
     lastRefusal = Optional.of(Refusal.after(code, runState, failure.reason()));
--- a/guavagw-core/src/main/java/org/guavagw/internal/load/LoadSpread.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/load/LoadSpread.java
@@ -105,7 +105,8 @@
     List<String> alive = membership.alive(dataCentre).stream().map(Member::id).toList();
     List<Assignment> mine = new ArrayList<>();
     for (BackendServerConfig server : configs.current().config().backendServers()) {
-      if (!server.dataCentre().equals(dataCentre)) {
+      boolean isEngine = !server.serves().isEmpty();
+      if (!isEngine || !server.dataCentre().equals(dataCentre)) {
         continue;
       }
       int rank = Rendezvous.pick("load/" + server.id(), alive, CANDIDATES).indexOf(selfId);
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeRun.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeRun.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.OptionalDouble;
 import org.guavagw.Refusal;
+import org.guavagw.RunState;
 import org.guavagw.config.VersionRef;
 import org.guavagw.internal.cascade.AnswerReport;
 import org.guavagw.internal.cascade.CascadePlan;
@@ -27,8 +28,8 @@
 /**
  * One request's way through a cascade. Confined to the request's thread.
  *
- * <p>Invariant: the caller sees at most one answer; it is held back until it is accepted, unless no
- * further step may follow it.
+ * <p>Invariants: the caller sees at most one answer; it is held back until it is accepted, unless
+ * no further step may follow it. A refusal says that the request was not run only if no step ran.
  */
 final class CascadeRun {
   private static final Duration RATING_PATIENCE = Duration.ofMillis(400);
@@ -42,6 +43,7 @@
   private final CascadePlan plan;
   private final List<Option> options;
   private final List<Held> held = new ArrayList<>();
+  private RunState runState = RunState.NOT_RUN;
 
   CascadeRun(
       ObjectMapper json,
@@ -73,6 +75,7 @@
     for (int tried = 1; tried < plan.steps().size(); tried++) {
       Either<Refusal, Held> answer = runHeld(step, next);
       if (answer.isLeft()) {
+        runState = runState.join(answer.getLeft().runState());
         step = plan.steps().get(tried);
         continue;
       }
@@ -126,7 +129,11 @@
                 cost,
                 result.isRight()));
     boolean canFallBack = result.isLeft() && !exchange.chat().sink().hasBegun() && !held.isEmpty();
-    return canFallBack ? release(held.get(held.size() - 1)) : result;
+    if (canFallBack) {
+      return release(held.get(held.size() - 1));
+    }
+    RunState earlier = held.isEmpty() ? runState : RunState.RAN;
+    return result.mapLeft(refusal -> refusal.afterEarlier(earlier));
   }
 
   private Either<Refusal, Answered> release(CascadeVerdict verdict) {
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/OnceFilter.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/OnceFilter.java
@@ -36,6 +36,7 @@
   private static final Duration RETRY_AFTER_STORE = Duration.ofSeconds(5);
   private static final Duration RETRY_AFTER_FIRST = Duration.ofSeconds(1);
   private static final String REPLAYED_FROM = "stored-outcome";
+  private static final String REPLAY_OF_HEADER = "X-Guavagw-Replay-Of";
 
   private final ConfigSource configs;
   private final OnceRegistry registry;
@@ -104,6 +105,7 @@
 
   private void keep(OnceClaim claim, ServiceAnswer answer) {
     Map<String, List<String>> headers = new TreeMap<>();
+    headers.put(REPLAY_OF_HEADER, new ArrayList<>(List.of(claim.requestId())));
     answer
         .headers()
         .forEach(h -> headers.computeIfAbsent(h.name(), n -> new ArrayList<>()).add(h.value()));
