Keep the unknown-host test off the network

Cause: the test asked the machine's resolver for a name. Change: its client has a resolver that knows no host; one test that each promise has one checker.

--- a/guavagw-standins/src/test/java/org/guavagw/standins/history/check/WorkCheckersTest.java
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/history/check/WorkCheckersTest.java
@@ -28,11 +28,19 @@
 import org.guavagw.standins.history.Event.VersionWithdrawn;
 import org.guavagw.standins.history.History;
 import org.guavagw.standins.history.HistoryChecker;
+import org.guavagw.standins.history.Promise;
 import org.guavagw.standins.history.RunClaim;
 import org.guavagw.standins.history.Violation;
 import org.junit.jupiter.api.Test;
 
 class WorkCheckersTest {
+  @Test
+  void shouldHaveOneCheckerForEachPromise() {
+    assertThat(Checkers.all(WINDOW, WINDOW))
+        .extracting(HistoryChecker::promise)
+        .containsExactlyInAnyOrder(Promise.values());
+  }
+
   @Test
   void shouldCatchAVersionThatTheTeamMayNoLongerUse() {
     HistoryChecker checker = new VersionsAllowedChecker(WINDOW);
--- a/guavagw-standins/src/test/java/org/guavagw/standins/wire/HttpPlatformTest.java
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/wire/HttpPlatformTest.java
@@ -4,7 +4,9 @@
 
 import com.google.common.base.Ticker;
 import io.vavr.control.Either;
+import java.net.InetAddress;
 import java.net.URI;
+import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.List;
 import okhttp3.OkHttpClient;
@@ -138,7 +140,9 @@
 
   @Test
   void shouldReportAnUnknownHostAsNotApplied() {
-    TableService nowhere = http.tableService(URI.create("http://nowhere.invalid/"));
+    OkHttpClient client = new OkHttpClient.Builder().dns(HttpPlatformTest::unknown).build();
+    TableService nowhere =
+        new HttpPlatform(client).tableService(URI.create("http://nowhere.invalid/"));
 
     assertThat(nowhere.read(KEY).getLeft().kind()).isEqualTo(Kind.NOT_APPLIED);
   }
@@ -185,6 +189,10 @@
     assertThat(weights.reserveDownload(VERSION, "b2").getLeft().kind()).isEqualTo(Kind.NOT_APPLIED);
   }
 
+  private static List<InetAddress> unknown(String host) throws UnknownHostException {
+    throw new UnknownHostException(host);
+  }
+
   private List<String> keys(String from, String to, int limit) {
     return tables.range("t", from, to, limit).get().stream().map(r -> r.key().key()).toList();
   }
