--- a/guavagw-standins/src/main/java/org/guavagw/standins/history/Event.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/Event.java
@@ -71,7 +71,12 @@
       boolean cold,
       int concurrency,
       int coldSlots)
-      implements Event {}
+      implements Event {
+    /** Time of arrival of a request that started at a time. */
+    public long arrivalNanos(long startNanos) {
+      return startNanos - waited.toNanos();
+    }
+  }
 
   /** A backend server ends the run of a request. */
   record ExecutionEnded(String server, Optional<String> requestId, boolean whole)
--- a/guavagw-standins/src/main/java/org/guavagw/standins/history/check/VersionsAllowedChecker.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/check/VersionsAllowedChecker.java
@@ -37,7 +37,7 @@
     VersionRef version = execution.event().version().orElseThrow();
     Optional<String> team = team(history, execution.event().callId().orElseThrow());
     return team.isPresent()
-        && configs(history, Arrivals.nanos(execution)).stream()
+        && configs(history, execution.event().arrivalNanos(execution.nanos())).stream()
             .map(c -> c.event().allowed().getOrDefault(team.get(), Set.of()))
             .anyMatch(versions -> versions.contains(version));
   }
--- a/guavagw-standins/src/main/java/org/guavagw/standins/history/check/WithdrawnVersionChecker.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/history/check/WithdrawnVersionChecker.java
@@ -2,13 +2,12 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
+import org.guavagw.config.VersionRef;
 import org.guavagw.standins.history.Event.ExecutionStarted;
 import org.guavagw.standins.history.Event.VersionWithdrawn;
 import org.guavagw.standins.history.History;
 import org.guavagw.standins.history.HistoryChecker;
 import org.guavagw.standins.history.Promise;
-import org.guavagw.standins.history.Timed;
 import org.guavagw.standins.history.Violation;
 
 /** No request arrives for a version later than a window after its withdrawal. */
@@ -20,15 +19,13 @@
 
   @Override
   public List<Violation> check(History history) {
-    List<Timed<VersionWithdrawn>> withdrawals = history.of(VersionWithdrawn.class);
+    List<Exclusion<VersionRef>> exclusions =
+        Exclusion.forGood(history.of(VersionWithdrawn.class), VersionWithdrawn::version);
     return history.stream(ExecutionStarted.class)
-        .filter(e -> withdrawals.stream().anyMatch(w -> isBroken(w, e)))
+        .filter(e -> e.event().version().isPresent())
+        .filter(
+            e -> exclusions.stream().anyMatch(x -> x.forbids(e.event().version().get(), e, window)))
         .map(e -> new Violation(promise(), e, "work for a withdrawn version"))
         .toList();
   }
-
-  private boolean isBroken(Timed<VersionWithdrawn> withdrawal, Timed<ExecutionStarted> execution) {
-    return execution.event().version().equals(Optional.of(withdrawal.event().version()))
-        && Arrivals.laterThan(execution, withdrawal, window);
-  }
 }
