--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -14,6 +14,7 @@
 import org.guavagw.EntrySettings;
 import org.guavagw.config.RolloutState;
 import org.guavagw.internal.config.ConfigHolder;
+import org.guavagw.internal.config.RevisionedConfig;
 import org.guavagw.internal.config.TableConfigHistory;
 import org.guavagw.internal.control.ControlPlane;
 import org.guavagw.internal.control.ControlSettings;
@@ -65,7 +66,7 @@
   private final long startedNanos = clocks.monotonic().read();
   private volatile boolean leaving;
 
-  private RunningEntry(EntrySettings settings, Platform platform) {
+  private RunningEntry(EntrySettings settings, Platform platform, EntryHooks hooks) {
     this.settings = settings;
     MetricRegistry metrics = new MetricRegistry();
     ScheduledExecutorService background = startThreads("background", BACKGROUND_THREADS);
@@ -81,9 +82,22 @@
     TableSessionPins pins = startPins(platform, background);
     TrafficParts.Collaborators others =
         new TrafficParts.Collaborators(
-            metrics, permits, pins, rollouts::observe, () -> control.membership().members().size());
+            metrics,
+            hooks.permits().apply(permits),
+            hooks.pins().apply(pins),
+            rollouts::observe,
+            () -> control.membership().members().size(),
+            hooks);
     TrafficParts traffic =
-        TrafficParts.create(settings, platform, configs, durable, others, json, clocks, closer);
+        TrafficParts.create(
+            settings,
+            platform,
+            hooks.configs().apply(configs),
+            durable,
+            others,
+            json,
+            clocks,
+            closer);
     this.loadReports =
         closer.register(
             LoadReportFeed.start(control.loads(), configs, traffic, background, clocks));
@@ -96,7 +110,12 @@
 
   /** Starts an entry. */
   public static RunningEntry start(EntrySettings settings, Platform platform) {
-    return new RunningEntry(settings, platform);
+    return new RunningEntry(settings, platform, EntryHooks.NONE);
+  }
+
+  /** Starts an entry with some mechanisms wrapped. */
+  public static RunningEntry start(EntrySettings settings, Platform platform, EntryHooks hooks) {
+    return new RunningEntry(settings, platform, hooks);
   }
 
   /** Port for callers. */
@@ -119,6 +138,11 @@
     return configs.current().revision();
   }
 
+  /** The configuration in force. */
+  public RevisionedConfig configuration() {
+    return configs.current();
+  }
+
   /** Whether the balancer should send requests. */
   public boolean isReady() {
     return !leaving && revision() > 0 && knowsBackendServers();
