--- /dev/null
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/jmh/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what decisions cost. */
+package org.guavagw.cli.bench.jmh;
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/TimeWeightedMean.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/TimeWeightedMean.java
@@ -6,25 +6,26 @@
  * Mean of a quantity over the time since its first value, with exponentially fading weight. Not
  * thread-safe.
  */
-final class TimeWeightedMean {
+public final class TimeWeightedMean {
   private final double windowNanos;
   private double weightedSum;
   private double weight;
   private double value;
   private long lastNanos;
 
-  TimeWeightedMean(Duration window) {
+  /** A mean whose older part fades with this time constant. */
+  public TimeWeightedMean(Duration window) {
     this.windowNanos = window.toNanos();
   }
 
   /** Says that the quantity has this value from now on. */
-  void set(double next, long nowNanos) {
+  public void set(double next, long nowNanos) {
     fade(nowNanos);
     value = next;
   }
 
   /** The mean, or 0 before any time has passed. */
-  double mean(long nowNanos) {
+  public double mean(long nowNanos) {
     fade(nowNanos);
     return weight == 0 ? 0 : weightedSum / weight;
   }
