--- /dev/null
+++ b/guavagw-config/src/main/java/org/guavagw/config/RolloutChecks.java
@@ -0,0 +1,75 @@
+package org.guavagw.config;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Checks rollouts. Stateless. */
+final class RolloutChecks {
+  private static final int ALL_PERCENT = 100;
+
+  private RolloutChecks() {}
+
+  static void check(GatewayConfig config, FaultList faults) {
+    List<RolloutConfig> rollouts = config.rollouts();
+    faults.requireDistinct("$.rollouts", ".id", rollouts, RolloutConfig::id);
+    Set<String> moving = new HashSet<>();
+    for (int i = 0; i < rollouts.size(); i++) {
+      String path = "$.rollouts[" + i + "]";
+      RolloutConfig rollout = rollouts.get(i);
+      faults.requireName(path + ".id", rollout.id());
+      checkVersions(path, rollout, config.model(rollout.model()), faults);
+      checkStages(path, rollout, faults);
+      if (isMoving(rollout) && !moving.add(rollout.model())) {
+        faults.add(
+            path + ".state",
+            "another rollout of '" + rollout.model() + "' is running or held",
+            "end one of the two first");
+      }
+    }
+  }
+
+  private static boolean isMoving(RolloutConfig rollout) {
+    return rollout.state() == RolloutState.RUNNING || rollout.state() == RolloutState.HELD;
+  }
+
+  private static void checkVersions(
+      String path, RolloutConfig rollout, Optional<ModelConfig> model, FaultList faults) {
+    if (rollout.fromVersion().equals(rollout.toVersion())) {
+      faults.add(path + ".toVersion", "is the same as fromVersion", "name the version to move to");
+    }
+    if (model.isEmpty()) {
+      faults.requireKnown(path + ".model", "model", rollout.model(), Set.of());
+      return;
+    }
+    Set<String> known =
+        model.get().versions().stream().map(VersionConfig::id).collect(Collectors.toSet());
+    faults.requireKnown(path + ".fromVersion", "version", rollout.fromVersion(), known);
+    faults.requireKnown(path + ".toVersion", "version", rollout.toVersion(), known);
+  }
+
+  private static void checkStages(String path, RolloutConfig rollout, FaultList faults) {
+    List<Integer> stages = rollout.stagesPercent();
+    if (rollout.stage() < 0 || rollout.stage() >= stages.size()) {
+      faults.add(
+          path + ".stage",
+          "is " + rollout.stage() + ", but there are " + stages.size() + " stages",
+          "give the index of a stage, from 0");
+    }
+    if (stages.isEmpty() || stages.get(stages.size() - 1) != ALL_PERCENT) {
+      faults.add(path + ".stagesPercent", "the last stage is not 100", "end with 100");
+    }
+    int before = 0;
+    for (int i = 0; i < stages.size(); i++) {
+      if (stages.get(i) <= before) {
+        faults.add(
+            path + ".stagesPercent[" + i + "]",
+            "is " + stages.get(i) + ", which is not above " + before,
+            "let the stages rise from above 0 to 100");
+      }
+      before = stages.get(i);
+    }
+  }
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -223,7 +223,7 @@
             () -> leaving = true);
     AdminApi api =
         new AdminApi(
-            json, settings.adminToken(), history, durable.decisions(), config -> List.of(), parts);
+            json, settings.adminToken(), history, durable.decisions(), ConfigFaults::of, parts);
     return HttpServer.start(api::install, settings.host(), settings.adminPort(), ADMIN_THREADS);
   }
 
