--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchReport.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/BenchReport.java
@@ -5,32 +5,24 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
-import java.util.Set;
-import java.util.TreeSet;
 
 /** Prints the rounds, the slopes, and all of it as one line of JSON. Stateless. */
 final class BenchReport {
-  private static final int MIN_ROUNDS_TO_FIT = 3;
-
   private BenchReport() {}
 
-  static void print(List<SizeResult> results, List<StormResult> storms, PrintStream out) {
-    Set<String> names = new TreeSet<>();
-    results.forEach(r -> names.addAll(r.perEntry().keySet()));
-    results.forEach(r -> printRound(r, out));
-    storms.forEach(r -> printStorm(r, out));
-    List<SlopeFit> fits =
-        results.size() < MIN_ROUNDS_TO_FIT
-            ? List.of()
-            : names.stream().map(n -> SlopeFit.of(n, results)).toList();
+  static void printSlopes(List<SlopeFit> slopes, PrintStream out) {
     out.printf(
         "%-36s %10s %12s %10s %8s %8s %12s%n",
         "per entry", "intercept", "slope/entry", "+-", "exponent", "+-", "at 350");
-    fits.forEach(f -> printFit(f, out));
-    out.println(json(new Document(results, storms, fits)));
+    slopes.forEach(f -> printFit(f, out));
+  }
+
+  static void printJson(
+      List<SizeResult> rounds, List<StormResult> storms, List<SlopeFit> slopes, PrintStream out) {
+    out.println(json(new Document(rounds, storms, slopes)));
   }
 
-  private static void printRound(SizeResult result, PrintStream out) {
+  static void printRound(SizeResult result, PrintStream out) {
     BenchScale scale = result.scale();
     out.printf(
         "%n%d entries, %d data centres, %d backend servers, %d teams%n",
@@ -49,7 +41,7 @@
         name, q.p50(), q.p99(), q.max(), q.samples());
   }
 
-  private static void printStorm(StormResult result, PrintStream out) {
+  static void printStorm(StormResult result, PrintStream out) {
     out.printf(
         "%n%d entries, configuration of %d bytes compressed%n",
         result.scale().entries(), result.snapshotBytes());
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/ControlBench.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/ControlBench.java
@@ -45,7 +45,10 @@
       e.getParser().printUsage(System.err);
       return USAGE_ERROR;
     }
-    BenchReport.print(bench.rounds(), bench.storms(), System.out);
+    List<SizeResult> rounds = bench.rounds();
+    List<SlopeFit> slopes = SlopeFit.all(rounds);
+    BenchReport.printSlopes(slopes, System.out);
+    BenchReport.printJson(rounds, bench.storms(), slopes, System.out);
     return 0;
   }
 
@@ -54,7 +57,9 @@
     for (String size : Splitter.on(',').trimResults().omitEmptyStrings().split(sizes)) {
       BenchScale scale = new BenchScale(Integer.parseInt(size), dataCentres);
       System.err.println("measuring " + scale.entries() + " entries");
-      results.add(new SizeRound(scale, Duration.ofSeconds(seconds), changes, seed).run());
+      SizeResult result = new SizeRound(scale, Duration.ofSeconds(seconds), changes, seed).run();
+      BenchReport.printRound(result, System.out);
+      results.add(result);
     }
     return results;
   }
@@ -65,6 +70,8 @@
     }
     System.err.println("restarting " + storm + " entries");
     BenchScale scale = new BenchScale(storm, dataCentres);
-    return List.of(new StormRound(scale, Duration.ofMillis(restartPauseMs)).run());
+    StormResult result = new StormRound(scale, Duration.ofMillis(restartPauseMs)).run();
+    BenchReport.printStorm(result, System.out);
+    return List.of(result);
   }
 }
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/SlopeFit.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/control/SlopeFit.java
@@ -1,6 +1,8 @@
 package org.guavagw.cli.bench.control;
 
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import org.apache.commons.math3.stat.regression.SimpleRegression;
 
 /**
@@ -17,8 +19,19 @@
     double exponentError,
     double atFullSize) {
   private static final int FULL_SIZE_ENTRIES = 350;
+  private static final int MIN_ROUNDS_TO_FIT = 3;
 
-  static SlopeFit of(String name, List<SizeResult> results) {
+  /** Fits every figure; empty if there are too few rounds. */
+  static List<SlopeFit> all(List<SizeResult> results) {
+    if (results.size() < MIN_ROUNDS_TO_FIT) {
+      return List.of();
+    }
+    Set<String> names = new TreeSet<>();
+    results.forEach(r -> names.addAll(r.perEntry().keySet()));
+    return names.stream().map(n -> of(n, results)).toList();
+  }
+
+  private static SlopeFit of(String name, List<SizeResult> results) {
     SimpleRegression linear = new SimpleRegression();
     SimpleRegression logarithmic = new SimpleRegression();
     for (SizeResult result : results) {
