Shorten the window of changes that a new link carries

Change: the window is 20 s in place of a minute, above the time that a change takes to reach every entry. Conclusion: the peak stays to be measured.

--- a/guavagw-core/src/main/java/org/guavagw/internal/membership/MemberSection.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/membership/MemberSection.java
@@ -11,7 +11,7 @@
 /**
  * Spreads member records as deltas and finds with a digest where two entries still differ.
  *
- * <p>Invariant: a new link carries the changes of the last minute, since those may not have reached
+ * <p>Invariant: a new link carries the changes of the last 20 s, since those may not have reached
  * the other end on another way yet; older ones are taken as known until the digests say otherwise.
  * Confined to the control thread.
  */
--- a/guavagw-core/src/main/java/org/guavagw/internal/membership/RecentChanges.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/membership/RecentChanges.java
@@ -6,7 +6,7 @@
 
 /** Remembers which change was the newest at which time. Confined to the control thread. */
 final class RecentChanges {
-  private static final long WINDOW_NS = Duration.ofMinutes(1).toNanos();
+  private static final long WINDOW_NS = Duration.ofSeconds(20).toNanos();
   private static final long MARK_INTERVAL_NS = Duration.ofSeconds(1).toNanos();
 
   private final Deque<Mark> marks = new ArrayDeque<>();
