Plan cascades by a learnt price of quality

Cause: a threshold at the target wastes money where cheap answers are good on average and misses the mean target where ratings are missing. Change: ratings by task class, version and previous answer are learnt as histograms; backward induction gives the best step at a price of quality; the price is searched so that the mean meets the target, mixing two prices where none fits; without ratings the cheapest mix by lower bounds, or by engine signals.

--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/PolicyScenarios.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/PolicyScenarios.java
@@ -9,6 +9,10 @@
 
   /** All of them, in the order in which they run. */
   public static List<Scenario> all() {
-    return List.of(new BadVersionInRollout(), new VersionGoneBad());
+    return List.of(
+        CascadeScenario.steadyDay(),
+        CascadeScenario.ratingsMissing(),
+        new BadVersionInRollout(),
+        new VersionGoneBad());
   }
 }
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/SignalModel.java
@@ -0,0 +1,40 @@
+package org.guavagw.internal.cascade;
+
+/**
+ * What an engine's own signal says of the rating. Immutable; the arrays are not changed.
+ *
+ * @param shares shares of the bins of the signal; they sum to 0 where the engine gives no signal
+ * @param means mean rating by bin of the signal; NaN where too few ratings were seen
+ */
+record SignalModel(double[] shares, double[] means) {
+  private static final double MIN_WEIGHT = 20;
+
+  static SignalModel of(double[] weights, double[] ratingSums) {
+    double total = 0;
+    for (double w : weights) {
+      total += w >= MIN_WEIGHT ? w : 0;
+    }
+    double[] shares = new double[weights.length];
+    double[] means = new double[weights.length];
+    for (int i = 0; i < weights.length; i++) {
+      boolean known = weights[i] >= MIN_WEIGHT;
+      shares[i] = known ? weights[i] / total : 0;
+      means[i] = known ? ratingSums[i] / weights[i] : Double.NaN;
+    }
+    return new SignalModel(shares, means);
+  }
+
+  double expected(double signal, double fallback) {
+    double mean = means[RatingBins.bin(signal)];
+    return Double.isNaN(mean) ? fallback : mean;
+  }
+
+  boolean isKnown() {
+    for (double share : shares) {
+      if (share > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/StepModel.java
@@ -0,0 +1,68 @@
+package org.guavagw.internal.cascade;
+
+import java.util.Arrays;
+import java.util.OptionalDouble;
+
+/**
+ * What is known of the ratings of one version on one task class. Immutable; the arrays are not
+ * changed.
+ *
+ * @param shares shares of the rating bins by context
+ * @param means mean rating by context
+ * @param firstRatings weight of the ratings of first answers
+ * @param signals what the engine's signal says of the rating
+ */
+record StepModel(double[][] shares, double[] means, double firstRatings, SignalModel signals) {
+  private static final double CONTEXT_STRENGTH = 10;
+  private static final double POOLED_STRENGTH = 5;
+  private static final double UNKNOWN_STRENGTH = 2;
+
+  /** Builds a model from histograms by context; the prior mean stands in for what is missing. */
+  static StepModel of(DecayingHistogram[] byContext, double priorMean, SignalModel signals) {
+    double[] first =
+        DecayingHistogram.shares(byContext[0].weights(), spreadAround(priorMean), UNKNOWN_STRENGTH);
+    double[] pooled = new double[RatingBins.BINS];
+    for (int c = 1; c < byContext.length; c++) {
+      double[] weights = byContext[c].weights();
+      for (int i = 0; i < pooled.length; i++) {
+        pooled[i] += weights[i];
+      }
+    }
+    double[] later = DecayingHistogram.shares(pooled, first, POOLED_STRENGTH);
+    double[][] shares = new double[byContext.length][];
+    shares[0] = first;
+    for (int c = 1; c < byContext.length; c++) {
+      shares[c] = DecayingHistogram.shares(byContext[c].weights(), later, CONTEXT_STRENGTH);
+    }
+    double[] means = Arrays.stream(shares).mapToDouble(StepModel::mean).toArray();
+    return new StepModel(shares, means, byContext[0].total(), signals);
+  }
+
+  /** Expected rating of an answer that was not rated. */
+  double expected(AnswerContext context, OptionalDouble engineSignal) {
+    double mean = means[context.index()];
+    return engineSignal.isEmpty() ? mean : signals.expected(engineSignal.getAsDouble(), mean);
+  }
+
+  private static double[] spreadAround(double mean) {
+    double[] shares = new double[RatingBins.BINS];
+    double total = 0;
+    for (int i = 0; i < shares.length; i++) {
+      double x = RatingBins.middle(i);
+      shares[i] = Math.pow(x, mean) * Math.pow(1 - x, 1 - mean);
+      total += shares[i];
+    }
+    for (int i = 0; i < shares.length; i++) {
+      shares[i] /= total;
+    }
+    return shares;
+  }
+
+  private static double mean(double[] shares) {
+    double sum = 0;
+    for (int i = 0; i < shares.length; i++) {
+      sum += shares[i] * RatingBins.middle(i);
+    }
+    return sum;
+  }
+}
--- a/guavagw-core/src/main/java/org/guavagw/internal/quality/QualityModel.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/quality/QualityModel.java
@@ -63,9 +63,14 @@
   }
 
   private void absorb(QualityKey key, RatingSums sums) {
+    if (sums.count() <= 0) {
+      return;
+    }
     double decay = Math.pow(DECAY_PER_RATING, sums.count());
-    byTeam.merge(key, sums, (old, fresh) -> old.scaled(decay).plus(fresh));
-    pooled.merge(PooledKey.of(key), sums, (old, fresh) -> old.scaled(decay).plus(fresh));
+    double meanWeight = (1 - decay) / (sums.count() * (1 - DECAY_PER_RATING));
+    RatingSums decayed = sums.scaled(meanWeight);
+    byTeam.merge(key, decayed, (old, fresh) -> old.scaled(decay).plus(fresh));
+    pooled.merge(PooledKey.of(key), decayed, (old, fresh) -> old.scaled(decay).plus(fresh));
     cache.remove(key);
   }
 
