--- a/guavagw-core/src/main/java/org/guavagw/internal/membership/GossipMembership.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/membership/GossipMembership.java
@@ -1,5 +1,6 @@
 package org.guavagw.internal.membership;
 
+import com.codahale.metrics.MetricRegistry;
 import com.google.common.base.Ticker;
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
@@ -11,9 +12,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.guavagw.internal.peer.PeerAddress;
 import org.guavagw.internal.peer.PeerAddresses;
@@ -39,6 +40,7 @@
   private final PeerAddresses addresses;
   private final GossipSettings settings;
   private final ScheduledExecutorService control;
+  private final RandomGenerator random;
   private final Ticker ticker;
   private final MemberRecords records;
   private final SummarySection summaries;
@@ -65,10 +67,13 @@
       GossipSettings settings,
       ScheduledExecutorService control,
       ScheduledExecutorService blocking,
-      Ticker ticker) {
+      Ticker ticker,
+      RandomGenerator random,
+      MetricRegistry metrics) {
     this.addresses = addresses;
     this.settings = settings;
     this.control = control;
+    this.random = random;
     this.ticker = ticker;
     PeerCodec codec = new PeerCodec();
     MemberRecord record = selfRecord(vm, network.self().incarnation());
@@ -77,7 +82,7 @@
     this.summaries = new SummarySection(codec, ticker);
     this.exchange =
         new HeartbeatExchange(
-            network, settings, control, ticker, this::sameDataCentre, this::unresponsive);
+            network, settings, control, ticker, this::sameDataCentre, this::unresponsive, metrics);
     exchange.add(new MemberSection(records, codec, ticker));
     exchange.add(summaries);
     this.vmList = new VmListReader(vmList, records, settings, blocking, control, ticker);
@@ -141,7 +146,7 @@
       logger.atWarning().withCause(e).log("heartbeat round failed");
     }
     long meanMs = settings.heartbeatInterval().toMillis();
-    double factor = 1 + JITTER * (ThreadLocalRandom.current().nextDouble() - 0.5);
+    double factor = 1 + JITTER * (random.nextDouble() - 0.5);
     nextTick = control.schedule(this::tick, (long) (meanMs * factor), TimeUnit.MILLISECONDS);
   }
 
@@ -173,7 +178,7 @@
     probed =
         silent.isEmpty()
             ? Optional.empty()
-            : Optional.of(silent.get(ThreadLocalRandom.current().nextInt(silent.size())));
+            : Optional.of(silent.get(random.nextInt(silent.size())));
   }
 
   private void readListIfChosen(long now) {
@@ -185,15 +190,19 @@
   }
 
   private void summarizeIfChosen(long now) {
-    boolean due = now - summarizedAtNs >= settings.summaryInterval().toNanos();
-    if (!due || !isChosen("summary", 1)) {
+    if (!isChosen("summary", 1)) {
       return;
     }
-    summarizedAtNs = now;
     String dataCentre = self.dataCentre();
     List<Member> here = view.stream().filter(m -> m.dataCentre().equals(dataCentre)).toList();
     long beat = summaries.beat(dataCentre) + 1;
-    summaries.publish(summaryMaker.summarize(dataCentre, beat, here));
+    DataCentreSummary next = summaryMaker.summarize(dataCentre, beat, here);
+    boolean news = summaries.summary(dataCentre).filter(next::saysTheSame).isEmpty();
+    boolean due = now - summarizedAtNs >= settings.summaryInterval().toNanos();
+    if (news || due) {
+      summarizedAtNs = now;
+      summaries.publish(next);
+    }
   }
 
   /** Whether this entry is among the first of its data centre for a task; control thread only. */
--- a/guavagw-core/src/test/java/org/guavagw/internal/durable/ScriptedTable.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/durable/ScriptedTable.java
@@ -20,6 +20,7 @@
   private final AtomicInteger answersToLose = new AtomicInteger();
   private final AtomicInteger requestsToLose = new AtomicInteger();
   private final AtomicReference<Runnable> beforeCommit = new AtomicReference<>(() -> {});
+  private final AtomicReference<Runnable> afterCommit = new AtomicReference<>(() -> {});
   private final AtomicReference<Runnable> afterRead = new AtomicReference<>(() -> {});
   private final InMemoryTableService store;
   private volatile boolean down;
@@ -49,7 +50,7 @@
     requestsToLose.set(count);
   }
 
-  /** Loses requests and answers of commits at random. */
+  /** Loses requests and answers of commits at random, and fails reads. */
   public synchronized void loseAtRandom(double rate, long seed) {
     faultRate = rate;
     random = new Random(seed);
@@ -60,6 +61,11 @@
     beforeCommit.set(action);
   }
 
+  /** Runs once, after the next commit took effect and before its answer. */
+  public void afterNextCommit(Runnable action) {
+    afterCommit.set(action);
+  }
+
   /** Runs once, after the next read took its value and before it returns. */
   public void afterNextRead(Runnable action) {
     afterRead.set(action);
@@ -72,7 +78,7 @@
 
   @Override
   public Either<PlatformFailure, Optional<Row>> read(RowKey key) {
-    if (down) {
+    if (down || happens()) {
       return Either.left(PlatformFailure.notApplied("down"));
     }
     Either<PlatformFailure, Optional<Row>> row = store.read(key);
@@ -82,7 +88,7 @@
 
   @Override
   public Either<PlatformFailure, List<Row>> range(String table, String from, String to, int limit) {
-    if (down) {
+    if (down || happens()) {
       return Either.left(PlatformFailure.notApplied("down"));
     }
     return store.range(table, from, to, limit);
@@ -99,6 +105,7 @@
       return Either.left(PlatformFailure.unknown("request lost"));
     }
     Either<PlatformFailure, CommitResult> result = store.commit(transaction);
+    afterCommit.getAndSet(() -> {}).run();
     if (take(answersToLose) || happens()) {
       return Either.left(PlatformFailure.unknown("answer lost"));
     }
