Let the cascade planner learn from the pipeline's ratings

Cause: nothing told the planner of ratings, so a policy that was worked out from no ratings was kept for good; its prior was also too flat, and put 0.95 at 0.65. Conclusion: answers of the last step, which are streamed, still reach the planner only through the quality model's mean.

--- a/guavagw-core/src/main/java/org/guavagw/internal/cascade/CascadeLearner.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/CascadeLearner.java
@@ -60,6 +60,10 @@
       planned++;
     }
 
+    synchronized long planned() {
+      return planned;
+    }
+
     synchronized void judged(boolean wasRated) {
       ratedShare = ratedShare * RATED_DECAY + (wasRated ? 1 - RATED_DECAY : 0);
     }
--- a/guavagw-core/src/main/java/org/guavagw/internal/cascade/CascadePolicy.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/CascadePolicy.java
@@ -9,9 +9,15 @@
  * @param rated tables for requests whose answers are rated in time
  * @param unrated tables for requests whose answers are not
  * @param observed number of ratings that it rests on
+ * @param planned number of requests of the task class before it
  */
 record CascadePolicy(
-    List<StepModel> models, QualityPrice price, TableMemo rated, TableMemo unrated, long observed) {
+    List<StepModel> models,
+    QualityPrice price,
+    TableMemo rated,
+    TableMemo unrated,
+    long observed,
+    long planned) {
 
   /** Whether an engine's signal says something of the answers. */
   boolean hasSignals() {
--- a/guavagw-core/src/main/java/org/guavagw/internal/cascade/PolicyCache.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/PolicyCache.java
@@ -53,8 +53,13 @@
     return Math.max(MIN_NEW_RATINGS, Math.min(MAX_NEW_RATINGS, share));
   }
 
+  /** Ratings since the policy was worked out; requests, while no cascade answer was ever rated. */
   private long newRatings(Key key, CascadePolicy policy) {
-    return learner.observed(key.taskClass(), key.versions()) - policy.observed();
+    long observed = learner.observed(key.taskClass(), key.versions());
+    if (observed > 0) {
+      return observed - policy.observed();
+    }
+    return learner.traffic(key.taskClass()).planned() - policy.planned();
   }
 
   private CascadePolicy workOut(Key key, String team) {
@@ -75,7 +80,8 @@
         rated,
         new TableMemo(models, costs, ratedShare, rated),
         new TableMemo(models, costs, 0, unrated),
-        observed);
+        observed,
+        traffic.planned());
   }
 
   /** What a policy depends on. Immutable. */
--- a/guavagw-core/src/main/java/org/guavagw/internal/cascade/StepModel.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/cascade/StepModel.java
@@ -16,6 +16,7 @@
   private static final double CONTEXT_STRENGTH = 10;
   private static final double POOLED_STRENGTH = 5;
   private static final double UNKNOWN_STRENGTH = 2;
+  private static final double SPREAD = 4;
 
   /** Builds a model from histograms by context; the prior mean stands in for what is missing. */
   static StepModel of(DecayingHistogram[] byContext, double priorMean, SignalModel signals) {
@@ -49,7 +50,9 @@
     double total = 0;
     for (int i = 0; i < shares.length; i++) {
       double x = RatingBins.middle(i);
-      shares[i] = Math.pow(x, mean) * Math.pow(1 - x, 1 - mean);
+      double good = SPREAD * mean - 1;
+      double bad = SPREAD * (1 - mean) - 1;
+      shares[i] = Math.pow(x, good) * Math.pow(1 - x, bad);
       total += shares[i];
     }
     for (int i = 0; i < shares.length; i++) {
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeRun.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeRun.java
@@ -9,6 +9,7 @@
 import org.guavagw.Refusal;
 import org.guavagw.config.VersionRef;
 import org.guavagw.internal.cascade.AnswerReport;
+import org.guavagw.internal.cascade.CascadeObservation;
 import org.guavagw.internal.cascade.CascadePlan;
 import org.guavagw.internal.cascade.CascadePlanner;
 import org.guavagw.internal.cascade.CascadeProgress;
@@ -77,6 +78,7 @@
         continue;
       }
       held.add(answer.get());
+      learn(step.step().version());
       CascadeVerdict verdict = planner.afterAnswer(progress());
       if (verdict instanceof CascadeVerdict.Escalate escalate) {
         step = escalate.next();
@@ -87,6 +89,26 @@
     return runLast(step, next);
   }
 
+  private void learn(VersionRef version) {
+    int newest = held.size() - 1;
+    AnswerReport report = held.get(newest).report();
+    OptionalDouble previous =
+        newest == 0
+            ? OptionalDouble.empty()
+            : OptionalDouble.of(planner.qualityOf(progress(), newest - 1));
+    report
+        .rating()
+        .ifPresent(
+            r ->
+                planner.observe(
+                    new CascadeObservation(
+                        exchange.requireTarget().name(),
+                        version,
+                        previous,
+                        r,
+                        report.engineSignal())));
+  }
+
   private Either<Refusal, Held> runHeld(PlannedStep step, Next next) {
     Option option = options.get(step.index());
     BufferedAnswer buffer = new BufferedAnswer(exchange.chat().sink());
