Add the operators' client and drive two entries through public clients

Cause: operators had no client, and no test used an entry as callers do. Change: guavagwctl (apply, get, history, rollout, withdraw, data-centre, backend-server, drain, explain, dump, status) with exit codes by kind of failure and one place for messages; a usage test with the OpenAI Java client, plain and streamed, and with guavagwctl against two entries. The entry command, its settings, and rollout, drain and explain against live entries are not tested or not written yet.

--- a/guavagw-cli/src/main/java/org/guavagw/cli/Main.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/Main.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Map;
 import org.guavagw.cli.bench.BenchCommand;
+import org.guavagw.cli.ctl.CtlProgram;
 import org.guavagw.cli.demo.DemoCommand;
 import org.guavagw.cli.entry.EntryCommand;
 
@@ -12,7 +13,14 @@
   private static final int USAGE_EXIT_CODE = 2;
   private static final Map<String, Program> PROGRAMS =
       ImmutableSortedMap.of(
-          "bench", BenchCommand::run, "demo", DemoCommand::run, "entry", EntryCommand::run);
+          "bench",
+          BenchCommand::run,
+          "ctl",
+          CtlProgram::run,
+          "demo",
+          DemoCommand::run,
+          "entry",
+          EntryCommand::run);
 
   private Main() {}
 
--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/LocalDeployment.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/LocalDeployment.java
@@ -41,6 +41,7 @@
 public final class LocalDeployment implements AutoCloseable {
   private static final String HOST = "127.0.0.1";
   private static final String SECRET = "local-secret";
+  private static final String ADMIN_TOKEN = "local-admin-token";
   private static final int COLD_SLOTS = 2;
   private static final Duration VM_LIST_LAG = Duration.ofMillis(500);
   private static final Duration BALANCER_LAG = Duration.ofMillis(300);
@@ -83,6 +84,11 @@
     plan.dataCentres().forEach(this::startEntries);
   }
 
+  /** Token that the operators' API of each entry takes. */
+  public static String adminToken() {
+    return ADMIN_TOKEN;
+  }
+
   /** The plan that runs. */
   public DeploymentPlan plan() {
     return plan;
@@ -142,6 +148,7 @@
     EntrySettings settings =
         EntrySettings.builder(id, dataCentre)
             .peerSecret(SECRET)
+            .adminToken(ADMIN_TOKEN)
             .workerThreads(WORKER_THREADS)
             .balancerLag(BALANCER_LAG)
             .shutdownLimit(SHUTDOWN_LIMIT)
