--- a/guavagw-cli/src/main/java/org/guavagw/cli/Main.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/Main.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.guavagw.cli.bench.BenchCommand;
 import org.guavagw.cli.check.CheckCommand;
+import org.guavagw.cli.ctl.CtlProgram;
 import org.guavagw.cli.demo.DemoCommand;
 import org.guavagw.cli.entry.EntryCommand;
 
@@ -12,15 +13,13 @@
 public final class Main {
   private static final int USAGE_EXIT_CODE = 2;
   private static final Map<String, Program> PROGRAMS =
-      ImmutableSortedMap.of(
-          "bench",
-          BenchCommand::run,
-          "check",
-          CheckCommand::run,
-          "demo",
-          DemoCommand::run,
-          "entry",
-          EntryCommand::run);
+      ImmutableSortedMap.<String, Program>naturalOrder()
+          .put("bench", BenchCommand::run)
+          .put("check", CheckCommand::run)
+          .put("ctl", CtlProgram::run)
+          .put("demo", DemoCommand::run)
+          .put("entry", EntryCommand::run)
+          .build();
 
   private Main() {}
 
