--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/BadVersionInRollout.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/BadVersionInRollout.java
@@ -10,6 +10,7 @@
 import org.guavagw.cli.bench.Scenario;
 import org.guavagw.cli.bench.ScenarioReport;
 import org.guavagw.cli.bench.TargetResult;
+import org.guavagw.config.GatewayConfig;
 import org.guavagw.config.VersionRef;
 
 /**
@@ -57,30 +58,20 @@
     Outcome outcome = new Outcome(policy);
     List<BenchRequest> requests = RequestStream.generate(workload, BAD_RUN_SECONDS, seed);
     VersionRef fresh = RolloutSetup.version(workload, RolloutSetup.NEW);
+    GatewayConfig config = RolloutSetup.rollingOut(workload);
     for (FaultKind kind : FaultKind.values()) {
       VersionFault fault = kind.of(workload, fresh, 0);
-      outcome.addBad(kind, run(workload, requests, List.of(fault), seed, newPolicy));
+      outcome.addBad(
+          kind, RolloutSetup.run(config, workload, requests, List.of(fault), seed, newPolicy));
     }
     for (int i = 1; i <= GOOD_ROLLOUTS; i++) {
       long goodSeed = seed + i * GOOD_SEED_STRIDE;
       List<BenchRequest> other = RequestStream.generate(workload, GOOD_RUN_SECONDS, goodSeed);
-      outcome.addGood(run(workload, other, List.of(), goodSeed, newPolicy));
+      outcome.addGood(RolloutSetup.run(config, workload, other, List.of(), goodSeed, newPolicy));
     }
     return outcome;
   }
 
-  private static RolloutTrace run(
-      Workload workload,
-      List<BenchRequest> requests,
-      List<VersionFault> faults,
-      long seed,
-      Function<ControlDesk, RolloutPolicy> newPolicy) {
-    ControlDesk desk = new ControlDesk(RolloutSetup.rollingOut(workload));
-    AnswerWorld world = new AnswerWorld(workload, RatingSupply.SAMPLED, faults, seed);
-    VersionRef fresh = RolloutSetup.version(workload, RolloutSetup.NEW);
-    return new RolloutRun(desk, newPolicy.apply(desk), world, fresh).run(requests);
-  }
-
   /** Sums over the rollouts of one policy. Not thread-safe. */
   private static final class Outcome {
     private final String policy;
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/RolloutSetup.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/RolloutSetup.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.guavagw.config.GatewayConfig;
 import org.guavagw.config.ModelConfig;
@@ -42,6 +43,19 @@
     return workload.classes().stream().map(TaskMix::name).collect(Collectors.toSet());
   }
 
+  /** Runs requests through a configuration under a policy; the new version is watched. */
+  static RolloutTrace run(
+      GatewayConfig config,
+      Workload workload,
+      List<BenchRequest> requests,
+      List<VersionFault> faults,
+      long seed,
+      Function<ControlDesk, RolloutPolicy> newPolicy) {
+    ControlDesk desk = new ControlDesk(config);
+    AnswerWorld world = new AnswerWorld(workload, RatingSupply.SAMPLED, faults, seed);
+    return new RolloutRun(desk, newPolicy.apply(desk), world, version(workload, NEW)).run(requests);
+  }
+
   private static GatewayConfig config(
       Workload workload, VersionState newState, List<RolloutConfig> rollouts) {
     ModelConfig model =
--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/VersionGoneBad.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/policy/VersionGoneBad.java
@@ -10,6 +10,7 @@
 import org.guavagw.cli.bench.Scenario;
 import org.guavagw.cli.bench.ScenarioReport;
 import org.guavagw.cli.bench.TargetResult;
+import org.guavagw.config.GatewayConfig;
 import org.guavagw.config.VersionRef;
 
 /**
@@ -55,26 +56,17 @@
     Outcome outcome = new Outcome(policy, faultAt);
     List<BenchRequest> requests = RequestStream.generate(workload, RUN_SECONDS, seed);
     VersionRef fresh = RolloutSetup.version(workload, RolloutSetup.NEW);
+    GatewayConfig config = RolloutSetup.inService(workload);
     for (FaultKind kind : FaultKind.values()) {
       VersionFault fault = kind.of(workload, fresh, faultAt);
-      outcome.addBad(kind, run(workload, requests, List.of(fault), seed, newPolicy));
+      outcome.addBad(
+          kind, RolloutSetup.run(config, workload, requests, List.of(fault), seed, newPolicy));
     }
-    outcome.falseStops += run(workload, requests, List.of(), seed, newPolicy).isStopped() ? 1 : 0;
+    RolloutTrace good = RolloutSetup.run(config, workload, requests, List.of(), seed, newPolicy);
+    outcome.falseStops += good.isStopped() ? 1 : 0;
     return outcome;
   }
 
-  private static RolloutTrace run(
-      Workload workload,
-      List<BenchRequest> requests,
-      List<VersionFault> faults,
-      long seed,
-      Function<ControlDesk, RolloutPolicy> newPolicy) {
-    ControlDesk desk = new ControlDesk(RolloutSetup.inService(workload));
-    AnswerWorld world = new AnswerWorld(workload, RatingSupply.SAMPLED, faults, seed);
-    VersionRef fresh = RolloutSetup.version(workload, RolloutSetup.NEW);
-    return new RolloutRun(desk, newPolicy.apply(desk), world, fresh).run(requests);
-  }
-
   /** Sums over the runs of one policy. Not thread-safe. */
   private static final class Outcome {
     private final String policy;
--- a/guavagw-core/src/test/java/org/guavagw/internal/cascade/CascadePlannerTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/cascade/CascadePlannerTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalDouble;
 import org.guavagw.config.CascadeConfig;
 import org.guavagw.config.VersionRef;
+import org.guavagw.internal.quality.QualityKey;
 import org.guavagw.internal.quality.QualityModel;
 import org.junit.jupiter.api.Test;
 
@@ -76,6 +77,18 @@
         .isEqualTo(new CascadeVerdict.Accept(0, AcceptReason.LEARNT_QUALITY));
   }
 
+  @Test
+  void shouldPlanByLearntQualityBeforeAnyCascadeAnswerWasRated() {
+    QualityModel quality = new QualityModel();
+    for (int i = 0; i < 300; i++) {
+      quality.observe(new QualityKey("t", CASCADE.taskClass(), SMALL.version()), 0.2);
+      quality.observe(new QualityKey("t", CASCADE.taskClass(), LARGE.version()), 0.95);
+    }
+    CascadePlan plan = new CascadePlanner(quality).plan(query(true, LONG, RatingState.UNAVAILABLE));
+    assertThat(plan.first().index()).isEqualTo(1);
+    assertThat(plan.first().expectedQuality()).isGreaterThan(0.85);
+  }
+
   @Test
   void shouldSayThatTheTargetIsOutOfReach() {
     learn(0.0, 0.3);
