--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/FairQueue.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/FairQueue.java
@@ -48,10 +48,12 @@
     return first.poll();
   }
 
-  /** Charges the request's team for its work. */
+  /** Charges the request's team for its work; once nothing waits, all teams are equal again. */
   void charge(AdmissionRequest request) {
     teams.get(request.team()).charge(request);
-    teams.values().removeIf(t -> t.isEmpty() && t.nextTag() <= virtualTime);
+    if (size == 0) {
+      teams.clear();
+    }
   }
 
   /** The newest request of the team that queues most for its weight. */
