--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/BenchCommand.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/BenchCommand.java
@@ -4,13 +4,22 @@
 import java.util.Arrays;
 import java.util.Map;
 import org.guavagw.cli.Program;
+import org.guavagw.cli.bench.billing.BillingBench;
+import org.guavagw.cli.bench.control.ControlBench;
+import org.guavagw.cli.bench.jmh.DecisionBench;
 import org.guavagw.cli.bench.relay.RelayBench;
 
 /** Chooses a bench by name. Stateless. */
 public final class BenchCommand {
   private static final int USAGE_EXIT_CODE = 2;
   private static final Map<String, Program> BENCHES =
-      ImmutableSortedMap.of("policy", PolicyBench::run, "relay", RelayBench::run);
+      ImmutableSortedMap.<String, Program>naturalOrder()
+          .put("billing", BillingBench::run)
+          .put("control", ControlBench::run)
+          .put("decision", DecisionBench::run)
+          .put("policy", PolicyBench::run)
+          .put("relay", RelayBench::run)
+          .build();
 
   private BenchCommand() {}
 
--- a/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckCommand.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckCommand.java
@@ -1,5 +1,6 @@
 package org.guavagw.cli.check;
 
+import com.google.common.base.Splitter;
 import java.io.PrintStream;
 import java.time.Duration;
 import java.util.Map;
@@ -43,6 +44,9 @@
   @Option(name = "--mutation", usage = "a mechanism to switch off, to see it missed")
   private String mutation = "";
 
+  @Option(name = "--script", usage = "names of faults, separated by semicolons")
+  private String script = "";
+
   private CheckCommand() {}
 
   /** Runs the checks and gives the exit code. */
@@ -78,7 +82,8 @@
               Duration.ofSeconds(seconds),
               callers,
               faults,
-              hooks.get());
+              hooks.get(),
+              Splitter.on(';').omitEmptyStrings().trimResults().splitToList(script));
       CheckResult result = new CheckRun(settings).run();
       print(out, result);
       violations += result.violations().size();
--- a/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckRun.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckRun.java
@@ -64,10 +64,10 @@
     List<Future<?>> struck = new ArrayList<>();
     try (CheckTraffic traffic = new CheckTraffic(checked, settings)) {
       UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(settings.seed());
-      long pauseMs = settings.length().toMillis() / (settings.faults() + 1);
-      for (int i = 0; i < settings.faults(); i++) {
+      List<Fault> planned = plannedFaults(random);
+      long pauseMs = settings.length().toMillis() / (planned.size() + 1);
+      for (Fault fault : planned) {
         TimeUnit.MILLISECONDS.sleep(pauseMs);
-        Fault fault = Faults.draw(random);
         faults.add(fault.name());
         struck.add(strikes.submit(() -> strike(fault, checked)));
       }
@@ -79,6 +79,15 @@
     }
   }
 
+  private List<Fault> plannedFaults(UniformRandomProvider random) {
+    List<Fault> planned = new ArrayList<>();
+    settings.script().forEach(name -> planned.add(Faults.named(name, random)));
+    while (settings.script().isEmpty() && planned.size() < settings.faults()) {
+      planned.add(Faults.draw(random));
+    }
+    return planned;
+  }
+
   private static Void strike(Fault fault, CheckedDeployment checked) throws InterruptedException {
     fault.strike(checked);
     return null;
--- a/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckedDeployment.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/CheckedDeployment.java
@@ -46,7 +46,8 @@
   CheckedDeployment(CheckSettings settings) {
     this.local =
         new LocalDeployment(
-            settings.plan(), LocalOptions.standard(settings.seed()).withHooks(settings.hooks()));
+            settings.plan(),
+            LocalOptions.standard(settings.seed()).withColdStart().withHooks(settings.hooks()));
     ExecutionFeed feed = new ExecutionFeed(recorder, local.dataCentreOfServers());
     feed.follow(local.executions());
     feed.follow(local.calls());
--- a/guavagw-cli/src/main/java/org/guavagw/cli/check/Faults.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/check/Faults.java
@@ -23,18 +23,33 @@
 final class Faults {
   private static final VersionRef SPARE = new VersionRef(DeploymentConfig.SMALL, "v2");
 
+  private static final int MAX_PICK = 1_000;
+
   private Faults() {}
 
   /** Draws a fault. */
   static Fault draw(UniformRandomProvider random) {
-    List<Fault> all = new ArrayList<>(List.of(tableDown(), tableAnswersLost(), ratingsDown()));
-    all.addAll(engineFaults(random.nextInt(1_000)));
-    all.addAll(ledgerFaults(random.nextInt(1_000)));
-    all.addAll(entryFaults(random.nextInt(1_000)));
-    all.addAll(operatorActs(random.nextInt(1_000)));
+    List<Fault> all = all(random.nextInt(MAX_PICK));
     return all.get(random.nextInt(all.size()));
   }
 
+  /** Finds a fault by its name. */
+  static Fault named(String name, UniformRandomProvider random) {
+    return all(random.nextInt(MAX_PICK)).stream()
+        .filter(f -> f.name().equals(name))
+        .findFirst()
+        .orElseThrow(() -> new IllegalArgumentException("no fault is named " + name));
+  }
+
+  private static List<Fault> all(int pick) {
+    List<Fault> all = new ArrayList<>(List.of(tableDown(), tableAnswersLost(), ratingsDown()));
+    all.addAll(engineFaults(pick));
+    all.addAll(ledgerFaults(pick));
+    all.addAll(entryFaults(pick));
+    all.addAll(operatorActs(pick));
+    return all;
+  }
+
   private static List<Fault> engineFaults(int pick) {
     return List.of(
         engine("engine dies and comes back", pick, Faults::dieAndRevive),
--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/DeploymentConfig.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/DeploymentConfig.java
@@ -53,7 +53,7 @@
     List<RolloutConfig> rollouts =
         List.of(
             new RolloutConfig(
-                "small-v2", SMALL, "v1", "v2", List.of(5, 25, 100), 0, RolloutState.RUNNING));
+                "small-v2", SMALL, "v1", "v2", List.of(5, 50, 100), 0, RolloutState.RUNNING));
     return new GatewayConfig(
         centres,
         List.of(small(), large()),
--- a/guavagw-cli/src/main/java/org/guavagw/cli/local/LocalDeployment.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/local/LocalDeployment.java
@@ -41,7 +41,6 @@
   private static final String HOST = "127.0.0.1";
   private static final String SECRET = "local-secret";
   private static final String ADMIN_TOKEN = "local-admin-token";
-  private static final int COLD_SLOTS = 2;
   private static final Duration VM_LIST_LAG = Duration.ofMillis(500);
   private static final Duration BALANCER_LAG = Duration.ofMillis(300);
   private static final Duration SHUTDOWN_LIMIT = Duration.ofSeconds(30);
@@ -217,7 +216,9 @@
     EngineStandIn engine =
         closer.register(
             new EngineStandIn(
-                EngineSettings.of(id, versions).withBatch(options.batch()),
+                EngineSettings.of(id, versions)
+                    .withBatch(options.batch())
+                    .withColdStart(options.coldStart()),
                 executions,
                 options.quality()));
     engines.put(id, engine);
@@ -228,7 +229,7 @@
       String id, String dataCentre, int port, List<VersionRef> versions) {
     int slots = options.batch().slots();
     return new BackendServerConfig(
-        id, dataCentre, HOST, port, versions, slots, COLD_SLOTS, true, true, false);
+        id, dataCentre, HOST, port, versions, slots, LocalOptions.COLD_SLOTS, true, true, false);
   }
 
   private void publishVms() {
--- a/guavagw-cli/src/test/java/org/guavagw/usage/OperatorUsageTest.java
+++ b/guavagw-cli/src/test/java/org/guavagw/usage/OperatorUsageTest.java
@@ -25,13 +25,13 @@
 import org.guavagw.cli.local.DeploymentConfig;
 import org.guavagw.cli.local.DeploymentPlan;
 import org.guavagw.cli.local.LocalDeployment;
+import org.guavagw.cli.local.LocalOptions;
 import org.guavagw.config.ConfigEdits;
 import org.guavagw.config.ConfigJson;
 import org.guavagw.config.DataCentreState;
 import org.guavagw.config.GatewayConfig;
 import org.guavagw.config.VersionRef;
 import org.guavagw.config.VersionState;
-import org.guavagw.standins.engine.QualityModel;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -61,7 +61,7 @@
 
   @BeforeEach
   void start() throws InterruptedException {
-    local = new LocalDeployment(PLAN, QualityModel.constant(0.9), SEED);
+    local = new LocalDeployment(PLAN, LocalOptions.standard(SEED));
     assertThat(local.awaitReady(Duration.ofSeconds(30))).isTrue();
   }
 
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/DurableParts.java
@@ -24,13 +24,16 @@
 import org.guavagw.internal.explain.DecisionLog;
 import org.guavagw.internal.explain.DecisionLogSettings;
 import org.guavagw.internal.lease.LeaseHolder;
+import org.guavagw.internal.lease.LeaseService;
 import org.guavagw.internal.lease.LeaseTerms;
 import org.guavagw.internal.lease.TableLeaseService;
 import org.guavagw.internal.lifecycle.Closer;
 import org.guavagw.internal.membership.Member;
 import org.guavagw.internal.membership.Rendezvous;
+import org.guavagw.internal.once.OncePurge;
 import org.guavagw.internal.once.OnceRegistry;
 import org.guavagw.internal.once.OnceSettings;
+import org.guavagw.internal.once.RetryingOnceRegistry;
 import org.guavagw.internal.once.TableOnceRegistry;
 import org.guavagw.internal.time.Clocks;
 import org.guavagw.platform.Platform;
@@ -45,6 +48,7 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String SWEEP_DUTY = "bill-sweeper";
+  private static final Duration ONCE_RETENTION = Duration.ofDays(7);
   private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(2);
   private static final Duration SWEEP_DELAY = Duration.ofSeconds(5);
 
@@ -97,14 +101,31 @@
                 clocks));
     bills.start();
     startSweeping(platform, control, leases, background, clocks, closer);
-    OnceRegistry once =
+    OnceRegistry once = startOnce(platform, control, leases, background, clocks, closer);
+    return new DurableParts(bills, budgets, once, leases, decisions);
+  }
+
+  private static OnceRegistry startOnce(
+      Platform platform,
+      ControlPlane control,
+      LeaseService leases,
+      ScheduledExecutorService background,
+      Clocks clocks,
+      Closer closer) {
+    TableOnceRegistry table =
         new TableOnceRegistry(
             platform.table(),
             platform.objects(),
             entry -> control.membership().member(entry).isEmpty(),
             OnceSettings.standard(),
             clocks.wall());
-    return new DurableParts(bills, budgets, once, leases, decisions);
+    RetryingOnceRegistry once = new RetryingOnceRegistry(table, clocks);
+    ScheduledFuture<?> retrying = once.retryOn(background);
+    closer.register(() -> retrying.cancel(false));
+    OncePurge purge = new OncePurge(platform.table(), leases, ONCE_RETENTION, clocks.wall());
+    ScheduledFuture<?> purging = purge.purgeOn(background);
+    closer.register(() -> purging.cancel(false));
+    return once;
   }
 
   private static void startSweeping(
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/LoadReportFeed.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/LoadReportFeed.java
@@ -61,7 +61,7 @@
         heard |= report.isPresent();
         report.ifPresent(r -> traffic.views().onLoadReport(server.id(), toView(r)));
       }
-      traffic.pools().refresh();
+      traffic.pools().refresh(traffic.index().current());
     } catch (RuntimeException e) {
       logger.atWarning().withCause(e).log("load reports not passed on");
     }
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/TrafficParts.java
@@ -19,11 +19,11 @@
 import org.guavagw.internal.engine.ConnectionPools;
 import org.guavagw.internal.engine.HttpEngineClient;
 import org.guavagw.internal.lifecycle.Closer;
+import org.guavagw.internal.limits.AdmissionSettings;
 import org.guavagw.internal.limits.RetryBudget;
 import org.guavagw.internal.limits.TeamLimiter;
 import org.guavagw.internal.permit.PermitService;
 import org.guavagw.internal.pipeline.AdmissionFilter;
-import org.guavagw.internal.pipeline.AdmissionPools;
 import org.guavagw.internal.pipeline.AuthenticateFilter;
 import org.guavagw.internal.pipeline.BillFilter;
 import org.guavagw.internal.pipeline.BudgetFilter;
@@ -37,6 +37,7 @@
 import org.guavagw.internal.pipeline.ResolveServiceFilter;
 import org.guavagw.internal.pipeline.TeamLimitFilter;
 import org.guavagw.internal.pipeline.VersionFilter;
+import org.guavagw.internal.placement.AdmissionPools;
 import org.guavagw.internal.placement.BackendViews;
 import org.guavagw.internal.placement.SampledPlacement;
 import org.guavagw.internal.quality.QualityModel;
@@ -56,6 +57,7 @@
     AuthenticateFilter authenticate,
     BackendViews views,
     AdmissionPools pools,
+    BackendIndexHolder index,
     QualityModel quality) {
 
   /** Joins the filters. */
@@ -73,22 +75,13 @@
     QualityModel quality = new QualityModel();
     TimedAnswerRater rater =
         closer.register(new TimedAnswerRater(platform.ratings(), clocks.monotonic()));
-    BackendIndexHolder index = new BackendIndexHolder(configs, clocks.monotonic());
+    BackendIndexHolder index = new BackendIndexHolder(configs, clocks.monotonic(), views::onIndex);
     AdmissionPools pools =
-        new AdmissionPools(views, index::current, others.members(), clocks.monotonic());
+        closer.register(
+            new AdmissionPools(
+                views, others.members(), AdmissionSettings.DEFAULT, clocks.monotonic()));
     DispatchParts dispatch =
-        new DispatchParts(
-            json,
-            new DispatchGuard(configs),
-            index,
-            views,
-            new SampledPlacement(views, ThreadLocalRandom::current),
-            others.permits(),
-            new RetryBudget(),
-            others.hooks().engines().apply(new HttpEngineClient(connections)),
-            others.outcomes(),
-            clocks,
-            settings.dataCentre());
+        dispatchParts(settings, configs, index, views, connections, others, json, clocks);
     RatingObserver observer = new RatingObserver(quality, others.outcomes());
     Shared shared =
         new Shared(
@@ -113,7 +106,7 @@
         List.of(
             cascade,
             version,
-            new AdmissionFilter(pools),
+            new AdmissionFilter(pools, index::current),
             new RateFilter(json, rater, observer),
             new ChatDispatchFilter(dispatch));
     ServiceDispatchFilter services =
@@ -125,9 +118,33 @@
         shared.authenticate(),
         views,
         pools,
+        index,
         quality);
   }
 
+  private static DispatchParts dispatchParts(
+      EntrySettings settings,
+      ConfigSource configs,
+      BackendIndexHolder index,
+      BackendViews views,
+      ConnectionPools connections,
+      Collaborators others,
+      ObjectMapper json,
+      Clocks clocks) {
+    return new DispatchParts(
+        json,
+        new DispatchGuard(configs),
+        index,
+        views,
+        new SampledPlacement(views, ThreadLocalRandom::current),
+        others.permits(),
+        new RetryBudget(),
+        others.hooks().engines().apply(new HttpEngineClient(connections)),
+        others.outcomes(),
+        clocks,
+        settings.dataCentre());
+  }
+
   /** Filters that both pipelines pass; immutable. */
   private record Shared(
       ConfigSource configs,
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/AdmissionFilter.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/AdmissionFilter.java
@@ -1,34 +1,42 @@
 package org.guavagw.internal.pipeline;
 
 import io.vavr.control.Either;
+import java.util.function.Supplier;
 import org.guavagw.Refusal;
 import org.guavagw.RefusalCode;
 import org.guavagw.config.TeamConfig;
 import org.guavagw.internal.limits.Admission;
+import org.guavagw.internal.limits.AdmissionQueue;
 import org.guavagw.internal.limits.AdmissionRefusal;
 import org.guavagw.internal.limits.AdmissionRequest;
 import org.guavagw.internal.limits.RequestClass;
+import org.guavagw.internal.placement.AdmissionPools;
+import org.guavagw.internal.placement.BackendIndex;
+import org.guavagw.internal.placement.PlacementTarget;
 
 /** Queues requests in front of the backend servers of their version, fairly. Thread-safe. */
 public final class AdmissionFilter implements Filter {
   private final AdmissionPools pools;
+  private final Supplier<BackendIndex> index;
 
   /** Creates the filter. */
-  public AdmissionFilter(AdmissionPools pools) {
+  public AdmissionFilter(AdmissionPools pools, Supplier<BackendIndex> index) {
     this.pools = pools;
+    this.index = index;
   }
 
   @Override
   public Either<Refusal, Answered> apply(Exchange exchange, Next next) {
-    AdmissionPools.Pool pool = pools.poolOf(exchange.requireVersion().ref());
-    Either<AdmissionRefusal, Admission> admitted = pool.queue().admit(requestOf(exchange));
+    PlacementTarget target = new PlacementTarget.Version(exchange.requireVersion().ref());
+    AdmissionQueue queue = pools.queue(index.get(), target);
+    Either<AdmissionRefusal, Admission> admitted = queue.admit(requestOf(exchange));
     if (admitted.isLeft()) {
       return Either.left(admitted.getLeft().toRefusal());
     }
     try {
-      return next.proceed(exchange).peekLeft(refusal -> noteRefusal(pool, refusal));
+      return next.proceed(exchange).peekLeft(refusal -> noteRefusal(target, refusal));
     } finally {
-      pool.queue().release(admitted.get());
+      queue.release(admitted.get());
     }
   }
 
@@ -41,9 +49,9 @@
         team.id(), weight, requestClass, exchange.terms().deadlineNanos(), cost);
   }
 
-  private static void noteRefusal(AdmissionPools.Pool pool, Refusal refusal) {
+  private void noteRefusal(PlacementTarget target, Refusal refusal) {
     if (refusal.code() == RefusalCode.OVERLOADED) {
-      pool.capacity().onRefused();
+      pools.onRefused(target);
     }
   }
 }
--- a/guavagw-core/src/main/java/org/guavagw/internal/placement/AdmissionPools.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/placement/AdmissionPools.java
@@ -47,6 +47,11 @@
     }
   }
 
+  /** Requests that wait in all queues. */
+  public int queued() {
+    return pools.values().stream().mapToInt(p -> p.queue().queued()).sum();
+  }
+
   /** Refuses all that waits. */
   @Override
   public void close() {
