--- a/guavagw-cli/src/main/java/org/guavagw/cli/bench/relay/RelayBench.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/bench/relay/RelayBench.java
@@ -48,6 +48,9 @@
   @Option(name = "--streams", usage = "long streams at once for the throughput part")
   private int streams = 16;
 
+  @Option(name = "--first-token-ms", usage = "time that the engine takes to its first token")
+  private long firstTokenMs;
+
   @Option(name = "--json", usage = "end with one line of JSON")
   private boolean asJson;
 
@@ -83,6 +86,8 @@
         System.err.println("the entry did not become ready");
         return 1;
       }
+      Duration delay = Duration.ofMillis(firstTokenMs);
+      local.engines().values().forEach(e -> e.faults().delayAnswers(delay));
       int enginePort = local.engines().values().iterator().next().port();
       int entryPort = local.entries().get(0).entry().callerPort();
       String key = DeploymentConfig.keyOf(DeploymentConfig.teamName(0));
--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/AnswerRelay.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/AnswerRelay.java
@@ -4,6 +4,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
+import org.guavagw.RunState;
 import org.guavagw.config.BackendServerConfig;
 import org.guavagw.internal.chat.AnswerHead;
 import org.guavagw.internal.chat.AnswerSink;
@@ -65,12 +66,20 @@
     long start = monotonic.read();
     AttemptResult result = readOnce(job, job.request(), progress);
     for (int i = 0; i < MAX_RESUMES && isResumable(job, result, progress); i++) {
-      result = readOnce(job, resumed(job, start, progress), progress);
+      result = later(result, readOnce(job, resumed(job, start, progress), progress));
     }
     long firstByte = progress.chunks > 0 ? progress.firstByteNanos - start : 0;
     return new RelayReport(result, Duration.ofNanos(firstByte), progress.usage, progress.chunks);
   }
 
+  /** What is known after a resumption; one that was not run does not undo what ran before. */
+  private static AttemptResult later(AttemptResult earlier, AttemptResult resumption) {
+    boolean notRun =
+        resumption instanceof AttemptResult.Failed failed
+            && failed.failure().runState() == RunState.NOT_RUN;
+    return notRun ? earlier : resumption;
+  }
+
   private EngineRequest resumed(Job job, long start, Progress progress) {
     EngineRequest first = job.request();
     Duration spent = Duration.ofNanos(monotonic.read() - start);
--- a/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/entry/RunningEntry.java
@@ -34,6 +34,8 @@
 import org.guavagw.internal.peer.PeerSettings;
 import org.guavagw.internal.permit.PeerPermitService;
 import org.guavagw.internal.permit.PermitMessage;
+import org.guavagw.internal.session.MemberPins;
+import org.guavagw.internal.session.PinMessage;
 import org.guavagw.internal.session.TableSessionPins;
 import org.guavagw.internal.time.Clocks;
 import org.guavagw.platform.Platform;
@@ -197,6 +199,7 @@
     PeerMessageRegistry registry = new PeerMessageRegistry();
     registry.register(PermitMessage.TYPES);
     registry.register(EvidenceMessage.TYPES);
+    registry.register(PinMessage.TYPES);
     return new ControlPlane(
         controlSettings(incarnation),
         platform.vms(),
@@ -219,8 +222,10 @@
   }
 
   private TableSessionPins startPins(Platform platform, ScheduledExecutorService background) {
+    MemberPins peers = new MemberPins(control.membership(), control.network());
     TableSessionPins pins =
-        new TableSessionPins(platform.table(), this::isMoving, clocks.monotonic());
+        new TableSessionPins(platform.table(), this::isMoving, peers, clocks.monotonic());
+    peers.answerFrom(pins::remembered);
     ScheduledFuture<?> flushing =
         background.scheduleWithFixedDelay(
             pins::flush, PIN_FLUSH_MS, PIN_FLUSH_MS, TimeUnit.MILLISECONDS);
--- a/guavagw-core/src/main/java/org/guavagw/internal/session/TableSessionPins.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/session/TableSessionPins.java
@@ -31,7 +31,8 @@
  * <p>A pin is inserted if absent, and the row that stands wins. While a model's choice of version
  * can differ between entries, because a rollout moves it, the row is written before the request
  * runs; otherwise it follows in a batch. While the table service is away no configuration can
- * change, so every entry makes the same choice without a row. Thread-safe.
+ * change, so every entry makes the same choice for a new session; for one that began earlier, while
+ * a rollout moves the model, other entries are asked what they remember. Thread-safe.
  */
 public final class TableSessionPins implements SessionPins {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -44,6 +45,7 @@
 
   private final TableService table;
   private final Predicate<String> isMoving;
+  private final PinPeers peers;
   private final Ticker monotonic;
   private final Cache<SessionKey, String> cache =
       Caffeine.newBuilder().maximumSize(MAX_CACHED).expireAfterAccess(IDLE_TIMEOUT).build();
@@ -57,10 +59,13 @@
    * Creates pins over a table service.
    *
    * @param isMoving whether a rollout of the model is under way
+   * @param peers asked where the table service is away
    */
-  public TableSessionPins(TableService table, Predicate<String> isMoving, Ticker monotonic) {
+  public TableSessionPins(
+      TableService table, Predicate<String> isMoving, PinPeers peers, Ticker monotonic) {
     this.table = table;
     this.isMoving = isMoving;
+    this.peers = peers;
     this.monotonic = monotonic;
     this.storeAwayUntilNanos = new AtomicLong(monotonic.read());
   }
@@ -72,9 +77,12 @@
     if (cached != null) {
       return Optional.of(cached);
     }
-    Optional<String> stored = readRow(key).map(TableSessionPins::versionOf);
-    stored.ifPresent(v -> cache.put(key, v));
-    return stored;
+    Optional<String> known = readRow(key).map(TableSessionPins::versionOf);
+    if (known.isEmpty() && !isStoreThere() && isMoving.test(model)) {
+      known = peers.find(key);
+    }
+    known.ifPresent(v -> cache.put(key, v));
+    return known;
   }
 
   @Override
@@ -95,6 +103,11 @@
     return new VersionRef(version.model(), kept);
   }
 
+  /** What this entry remembers of a session; never blocks. */
+  public Optional<String> remembered(SessionKey key) {
+    return Optional.ofNullable(cache.getIfPresent(key));
+  }
+
   /** Writes pins that wait; called again and again by a background thread. */
   public void flush() {
     List<Pin> batch = new ArrayList<>();
