Refuse malformed version names, learn what cascade steps cost, tell timeouts apart in one place

Cause, read-through: a model name such as small@ ended as an internal error that may have run; the cost estimator was never fed; two clients judged timeouts by a text in lower case, and one message of the JDK starts with a capital. Change: VersionRef.isWellFormed guards the parse; each answer of a cascade teaches the estimator; Timeouts serves both clients.

--- a/guavagw-core/src/main/java/org/guavagw/internal/engine/HttpEngineClient.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/engine/HttpEngineClient.java
@@ -101,8 +101,7 @@
 
   private Either<EngineFailure, EngineStream> silent(
       BackendAddress address, SocketTimeoutException e) {
-    boolean neverConnected = String.valueOf(e.getMessage()).contains("connect");
-    if (neverConnected) {
+    if (Timeouts.isBeforeConnection(e)) {
       return failed(EngineFailure.Kind.NOT_SENT, e);
     }
     pools.replace(address);
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeFilter.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/CascadeFilter.java
@@ -69,7 +69,27 @@
     }
     CascadePlan plan = planner.plan(queryFor(exchange, cascade.config(), options));
     return new CascadeRun(json, planner, rater, observer, clocks, exchange, plan, options)
-        .run(next);
+        .run(learning(next));
+  }
+
+  private Next learning(Next next) {
+    return exchange -> {
+      long start = clocks.monotonic().read();
+      Either<Refusal, Answered> result = next.proceed(exchange);
+      Duration took = Duration.ofNanos(clocks.monotonic().read() - start);
+      return result.peek(answered -> learn(exchange, answered, took));
+    };
+  }
+
+  private void learn(Exchange exchange, Answered answered, Duration took) {
+    if (!answered.usage().isKnown()) {
+      return;
+    }
+    costs.observe(
+        exchange.requireVersion().ref(),
+        exchange.chat().request().maxTokens(),
+        answered.usage().outputTokens(),
+        took);
   }
 
   private List<CascadeRun.Option> optionsOf(Exchange exchange, CascadeConfig cascade) {
--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/ResolveModelFilter.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/ResolveModelFilter.java
@@ -19,8 +19,6 @@
  * so that names of other teams' models do not leak.
  */
 public final class ResolveModelFilter implements Filter {
-  private static final char VERSION_SEPARATOR = '@';
-
   private final ConfigSource configs;
 
   /** Creates the filter. */
@@ -47,7 +45,7 @@
     if (config.model(name).filter(m -> allowsAny(team, m)).isPresent()) {
       return Either.right(new Target.Model(name));
     }
-    if (name.indexOf(VERSION_SEPARATOR) > 0) {
+    if (VersionRef.isWellFormed(name)) {
       return resolveVersion(config, team, VersionRef.parse(name));
     }
     return Either.left(
--- a/guavagw-core/src/main/java/org/guavagw/internal/service/HttpServiceClient.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/service/HttpServiceClient.java
@@ -21,6 +21,7 @@
 import org.guavagw.internal.engine.ConnectionPools;
 import org.guavagw.internal.engine.EngineFailure;
 import org.guavagw.internal.engine.EngineFailure.Kind;
+import org.guavagw.internal.engine.Timeouts;
 
 /**
  * Calls plain services over HTTP. Thread-safe.
@@ -69,8 +70,7 @@
       return failed(Kind.NOT_SENT, e);
     } catch (SocketTimeoutException e) {
       pools.replace(address);
-      boolean neverConnected = String.valueOf(e.getMessage()).contains("connect");
-      return failed(neverConnected ? Kind.NOT_SENT : Kind.SILENT, e);
+      return failed(Timeouts.isBeforeConnection(e) ? Kind.NOT_SENT : Kind.SILENT, e);
     } catch (IOException e) {
       return failed(http.isCanceled() ? Kind.TIMED_OUT : Kind.BROKEN, e);
     }
