Judge a failed exchange in one place and drop what nothing calls

Behaviour and tests stay as they are. Still standing twice: shape and nanos of two load scenarios, two records named LoadReport, and copies of whole records in ConfigEdits and the drafts.

--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/AttemptJournal.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/AttemptJournal.java
@@ -81,13 +81,7 @@
     if (failure.isEmpty()) {
       return Outcome.completed(report.get().firstByte().toNanos());
     }
-    return Outcome.of(
-        switch (failure.get().kind()) {
-          case NOT_SENT, SILENT -> Outcome.Kind.UNREACHABLE;
-          case REFUSED -> Outcome.Kind.REFUSED;
-          case BROKEN, MISMATCHED -> Outcome.Kind.FAILED;
-          case REJECTED, TIMED_OUT, CANCELLED -> Outcome.Kind.CANCELLED;
-        });
+    return Outcomes.of(failure.get());
   }
 
   private void addSpend(String backendServer, RelayReport report) {
--- a/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ServiceAttempts.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/dispatch/ServiceAttempts.java
@@ -123,7 +123,9 @@
     parts.views().onDispatched(server.id());
     Either<EngineFailure, ServiceAnswer> answer = sendIfStillAllowed(server);
     Duration took = Duration.ofNanos(parts.clocks().monotonic().read() - start);
-    parts.views().onFinished(server.id(), outcomeOf(answer, took));
+    parts
+        .views()
+        .onFinished(server.id(), answer.fold(Outcomes::of, a -> Outcome.completed(took.toNanos())));
     String what = answer.fold(f -> f.kind().name(), a -> "STATUS_" + a.status());
     RunState ran = answer.fold(EngineFailure::runState, a -> RunState.RAN);
     exchange.trace().attempt(new AttemptRecord(server.id(), call.service(), what, ran, took));
@@ -139,19 +141,6 @@
     return services.call(address, exchange.requestId(), call, repeatable, timeLeft());
   }
 
-  private static Outcome outcomeOf(Either<EngineFailure, ServiceAnswer> answer, Duration took) {
-    if (answer.isRight()) {
-      return Outcome.completed(took.toNanos());
-    }
-    return Outcome.of(
-        switch (answer.getLeft().kind()) {
-          case NOT_SENT, SILENT -> Outcome.Kind.UNREACHABLE;
-          case REFUSED -> Outcome.Kind.REFUSED;
-          case BROKEN, MISMATCHED -> Outcome.Kind.FAILED;
-          case REJECTED, TIMED_OUT, CANCELLED -> Outcome.Kind.CANCELLED;
-        });
-  }
-
   private void addSpend(BackendServerConfig server) {
     long price =
         parts
--- a/guavagw-core/src/main/java/org/guavagw/internal/engine/EngineRequest.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/engine/EngineRequest.java
@@ -8,10 +8,4 @@
  * @param body chat completion request in JSON, with the model and version in place
  * @param resumeOffset number of chunks already received from an earlier connection, else 0
  */
-public record EngineRequest(String requestId, byte[] body, Duration timeLeft, int resumeOffset) {
-
-  /** The same request, to be taken up after chunks that already arrived. */
-  public EngineRequest resumedAfter(int chunks) {
-    return new EngineRequest(requestId, body, timeLeft, chunks);
-  }
-}
+public record EngineRequest(String requestId, byte[] body, Duration timeLeft, int resumeOffset) {}
