--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -0,0 +1,125 @@
+package org.guavagw.gateway;
+
+import com.google.common.base.Ticker;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.guavagw.gateway.internal.cascade.StrongestModel;
+import org.guavagw.gateway.internal.control.ControlPlane;
+import org.guavagw.gateway.internal.control.ControlState;
+import org.guavagw.gateway.internal.control.Knowledge;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.relay.ProbeServer;
+import org.guavagw.gateway.internal.relay.ProbeServer.ProbeAnswer;
+import org.guavagw.gateway.internal.relay.Relay;
+import org.guavagw.gateway.internal.relay.Transport;
+import org.guavagw.gateway.internal.rollout.RolloutDirector;
+import org.guavagw.gateway.spi.ControlFormat;
+import org.guavagw.gateway.spi.ControlStore;
+import org.guavagw.internal.lifecycle.Closer;
+import org.guavagw.internal.time.Clocks;
+
+/**
+ * A running gateway process. Thread-safe.
+ *
+ * <p>Traffic and control state have one thread each; they share immutable views only.
+ */
+public final class Gateway implements AutoCloseable {
+  /** The balancer stops sending new connections only after it has asked twice, a second apart. */
+  private static final Duration BALANCER_LAG = Duration.ofMillis(2500);
+
+  /** Left of the time for a shutdown to close everything in order. */
+  private static final Duration CLOSING_RESERVE = Duration.ofMillis(600);
+
+  private final GatewaySettings settings;
+  private final EventLog log;
+  private final Knowledge knowledge;
+  private final Relay relay;
+  private final AtomicBoolean stopping = new AtomicBoolean();
+  private final Closer closer = new Closer();
+
+  private Gateway(GatewaySettings settings, GatewayAdapter adapter, EventLog log) {
+    this.settings = settings;
+    this.log = log;
+    Ticker ticker = Clocks.system().monotonic();
+    GatewayMetrics metrics = new GatewayMetrics();
+    Transport traffic = closer.register(new Transport("traffic"));
+    Transport control = closer.register(new Transport("control"));
+    EventLoop trafficLoop = traffic.group().next();
+    EventLoop controlLoop = control.group().next();
+    ControlFormat format = adapter.controlFormat();
+    this.knowledge = new Knowledge(ticker);
+    ControlStore store = closer.register(adapter.openStore(control, controlLoop, metrics));
+    ControlState state = new ControlState(format, knowledge, log);
+    RolloutDirector rollouts =
+        new RolloutDirector(knowledge, store, format, trafficLoop, controlLoop, log);
+    this.relay =
+        closer.register(
+            new Relay(
+                settings,
+                traffic,
+                knowledge,
+                rollouts,
+                new StrongestModel(),
+                adapter.relayFormat(),
+                ticker,
+                log,
+                metrics));
+    ControlPlane plane =
+        closer.register(new ControlPlane(store, format, state, controlLoop, ticker, log));
+    closer.register(new ProbeServer(traffic, settings.readyAddress(), this::readiness));
+    closer.register(
+        new ProbeServer(
+            traffic, settings.metricsAddress(), path -> new ProbeAnswer(200, metrics.text())));
+    metrics.gauge("config_version", () -> knowledge.get().configVersion());
+    metrics.gauge("orders_age_seconds", () -> knowledge.ordersAge().toMillis() / 1000.0);
+    metrics.gauge("log_lines_dropped", log::droppedLines);
+    plane.start();
+    rollouts.start();
+  }
+
+  /** Starts a gateway. */
+  public static Gateway start(GatewaySettings settings, GatewayAdapter adapter, EventLog log) {
+    Gateway gateway = new Gateway(settings, adapter, log);
+    log.event("started")
+        .with("data_centre", settings.dataCentre())
+        .with("callers", settings.callerAddress().toString())
+        .with("entries", settings.entries())
+        .write();
+    return gateway;
+  }
+
+  private ProbeAnswer readiness(String path) {
+    if (!path.equals(settings.readyPath())) {
+      return new ProbeAnswer(404, "unknown path\n");
+    }
+    if (stopping.get()) {
+      return new ProbeAnswer(503, "stopping\n");
+    }
+    return knowledge.complete()
+        ? new ProbeAnswer(200, "ready\n")
+        : new ProbeAnswer(503, "no configuration yet\n");
+  }
+
+  /** Lets requests under way end, then stops. */
+  public void shutDown() throws InterruptedException {
+    if (!stopping.compareAndSet(false, true)) {
+      return;
+    }
+    log.event("stopping").write();
+    long begin = System.nanoTime();
+    relay.drain();
+    Thread.sleep(BALANCER_LAG.toMillis());
+    relay.closeIdleConnections();
+    Duration spent = Duration.ofNanos(System.nanoTime() - begin);
+    boolean all = relay.awaitRequests(settings.shutdownLimit().minus(spent).minus(CLOSING_RESERVE));
+    log.event("stopped").with("requests", all ? "all answered" : "some cut").write();
+    close();
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -0,0 +1,37 @@
+package org.guavagw.gateway;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+
+/**
+ * Settings of a gateway process. Immutable.
+ *
+ * @param nodeName name of this entry in logs
+ * @param dataCentre data centre of this entry
+ * @param callerAddress where callers connect
+ * @param readyAddress where the balancer asks whether this entry is ready
+ * @param readyPath path of that question
+ * @param metricsAddress where metrics are served
+ * @param entries how many entries share the common bounds
+ * @param maxKeyAge age of knowledge beyond which keys are not accepted; empty for no bound
+ * @param sessionEnd silence after which a session has ended
+ * @param repeatRatio repeats that all entries may send for each request of the window
+ * @param repeatSlack further repeats in each window, of all entries together
+ * @param repeatWindow window of the two bounds on repeats
+ * @param shutdownLimit longest time that a shutdown takes
+ */
+public record GatewaySettings(
+    String nodeName,
+    String dataCentre,
+    InetSocketAddress callerAddress,
+    InetSocketAddress readyAddress,
+    String readyPath,
+    InetSocketAddress metricsAddress,
+    int entries,
+    Optional<Duration> maxKeyAge,
+    Duration sessionEnd,
+    double repeatRatio,
+    double repeatSlack,
+    Duration repeatWindow,
+    Duration shutdownLimit) {}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/cascade/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the model where a route leaves the choice to the gateway. */
+package org.guavagw.gateway.internal.cascade;
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -0,0 +1,69 @@
+package org.guavagw.gateway.internal.control;
+
+import com.google.common.base.Ticker;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.spi.ControlFormat;
+import org.guavagw.gateway.spi.ControlStore;
+
+/** Follows the tables of the store that the gateway is decided by. Thread-safe. */
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class ControlPlane implements AutoCloseable {
+  /** Each answer proves anew that the orders are current, well within the time to revoke a key. */
+  private static final Duration ORDERS_WAIT = Duration.ofMillis(1500);
+
+  /** Changes arrive at once; a shorter wait would only cost calls. */
+  private static final Duration OTHER_WAIT = Duration.ofSeconds(8);
+
+  private final ScheduledExecutorService control;
+  private final List<TableWatch> watches;
+
+  /** A control plane that starts on {@link #start}. */
+  public ControlPlane(
+      ControlStore store,
+      ControlFormat format,
+      ControlState state,
+      ScheduledExecutorService control,
+      Ticker ticker,
+      EventLog log) {
+    this.control = control;
+    this.watches =
+        List.of(
+            new TableWatch(
+                format.ordersTable(),
+                ORDERS_WAIT,
+                store,
+                state.ordersMirror(),
+                control,
+                ticker,
+                log),
+            new TableWatch(
+                format.backendsTable(),
+                OTHER_WAIT,
+                store,
+                state.backendsMirror(),
+                control,
+                ticker,
+                log),
+            new TableWatch(
+                format.statusTable(),
+                OTHER_WAIT,
+                store,
+                state.statusMirror(),
+                control,
+                ticker,
+                log));
+  }
+
+  /** Begins to follow the tables. */
+  public void start() {
+    control.execute(() -> watches.forEach(TableWatch::start));
+  }
+
+  @Override
+  public void close() {
+    control.execute(() -> watches.forEach(TableWatch::close));
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/logging/package-info.java
@@ -0,0 +1,2 @@
+/** Structured log lines on standard output. */
+package org.guavagw.gateway.internal.logging;
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
@@ -0,0 +1,46 @@
+package org.guavagw.gateway.internal.metrics;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.guavagw.internal.http.MetricsText;
+
+/** What the gateway counts. Thread-safe. */
+public final class GatewayMetrics {
+  private final MetricRegistry registry = new MetricRegistry();
+
+  /** Counts a request that ended and its time. */
+  public void onRequest(String kind, int status, long millis) {
+    String name = "requests." + kind.toLowerCase(Locale.ROOT);
+    registry.counter(name + ".status_" + status).inc();
+    registry.timer(name + ".latency").update(millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Counts a request that was refused before it was served. */
+  public void onRefused(String code) {
+    registry.counter("refusals." + code).inc();
+  }
+
+  /** Counts an attempt that failed. */
+  public void onAttemptFailed(String failure) {
+    registry.counter("attempts_failed." + failure.toLowerCase(Locale.ROOT)).inc();
+  }
+
+  /** Counts a call to the store. */
+  public void onStoreCall(String call, String result) {
+    registry.counter("store_calls." + call + "." + result).inc();
+  }
+
+  /** Serves the value of a supplier. */
+  public void gauge(String name, Supplier<? extends Number> value) {
+    Gauge<Number> gauge = value::get;
+    registry.register(name, gauge);
+  }
+
+  /** All values in the text format that scrapers read. */
+  public String text() {
+    return MetricsText.of(registry);
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latency histograms of the gateway. */
+package org.guavagw.gateway.internal.metrics;
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
@@ -0,0 +1,101 @@
+package org.guavagw.gateway.internal.placement;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.spi.PromptPart;
+
+/**
+ * Load, health and probable cache content of every backend server, as far as this entry saw it.
+ *
+ * <p>Confined to the traffic thread. Knowledge belongs to an incarnation: a backend server that
+ * started again begins anew.
+ */
+public final class LoadBook {
+  /** Share of an engine's memory that is taken to hold parts; the rest holds running requests. */
+  private static final double CACHE_SHARE = 0.6;
+
+  /** Memory of engines whose size is unknown, in tokens. */
+  private static final long DEFAULT_CACHE_TOKENS = 100_000;
+
+  /** How long a backend server that could not be reached is left alone. */
+  private static final Duration UNREACHABLE_PAUSE = Duration.ofMillis(1500);
+
+  /** How long a backend server that mostly fails is left alone. */
+  private static final Duration FAILING_PAUSE = Duration.ofSeconds(1);
+
+  private static final double FAILING_SHARE = 0.4;
+  private static final double MIN_FAILURES = 2.5;
+
+  private final Map<String, ServerLoad> loads = new HashMap<>();
+  private final Map<String, PrefixMemory> memories = new HashMap<>();
+
+  ServerLoad load(BackendServer server) {
+    return loads.computeIfAbsent(server.incarnation(), i -> new ServerLoad());
+  }
+
+  int heldTokens(BackendServer server, String model, List<PromptPart> prompt) {
+    PrefixMemory memory = memories.get(server.incarnation());
+    return memory == null ? 0 : memory.heldTokens(model, prompt);
+  }
+
+  /** Requests of this entry that are under way at a backend server. */
+  public int running(BackendServer server) {
+    return load(server).running();
+  }
+
+  /** Notes that an attempt was sent, and returns the tokens that have to be read for it. */
+  public int onSent(
+      BackendServer server, String model, List<PromptPart> prompt, int tokens, long cacheTokens) {
+    int toRead = Math.max(0, tokens - heldTokens(server, model, prompt));
+    load(server).onSent(toRead);
+    long size = cacheTokens > 0 ? cacheTokens : DEFAULT_CACHE_TOKENS;
+    memories
+        .computeIfAbsent(server.incarnation(), i -> new PrefixMemory((long) (size * CACHE_SHARE)))
+        .remember(model, prompt);
+    return toRead;
+  }
+
+  /** Notes that the prompt of an attempt has been read. */
+  public void onPromptRead(BackendServer server, int tokens) {
+    load(server).onPromptRead(tokens);
+  }
+
+  /** Notes that an attempt has ended. */
+  public void onEnded(BackendServer server) {
+    load(server).onEnded();
+  }
+
+  /** Notes how an attempt went. */
+  public void onOutcome(BackendServer server, boolean good, long nowNanos) {
+    ServerLoad load = load(server);
+    load.onOutcome(good, nowNanos);
+    if (!good
+        && load.failures(nowNanos) >= MIN_FAILURES
+        && load.failureShare(nowNanos) >= FAILING_SHARE) {
+      load.avoidUntil(nowNanos + FAILING_PAUSE.toNanos());
+    }
+  }
+
+  /** Notes that a backend server could not be reached. */
+  public void onUnreachable(BackendServer server, long nowNanos) {
+    ServerLoad load = load(server);
+    load.onOutcome(false, nowNanos);
+    load.avoidUntil(nowNanos + UNREACHABLE_PAUSE.toNanos());
+  }
+
+  /** Forgets backend servers that are gone and have nothing under way. */
+  public void retain(Set<String> incarnations) {
+    Set<String> idle =
+        loads.entrySet().stream()
+            .filter(e -> !incarnations.contains(e.getKey()) && e.getValue().running() == 0)
+            .map(Map.Entry::getKey)
+            .collect(Collectors.toSet());
+    loads.keySet().removeAll(idle);
+    memories.keySet().removeAll(idle);
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
@@ -0,0 +1,81 @@
+package org.guavagw.gateway.internal.placement;
+
+/**
+ * What this entry has under way at one backend server and how its attempts there went lately. Not
+ * thread-safe.
+ */
+final class ServerLoad {
+  /** Failures count half after this time: a few repeats of a fault, not minutes of memory. */
+  private static final double HALF_LIFE_NANOS = 3e9;
+
+  /** Trials that an untested backend server is taken to have passed. */
+  private static final double PRIOR_TRIALS = 3;
+
+  private int running;
+  private long waitingTokens;
+  private double trials;
+  private double failures;
+  private long decayedNanos;
+  private long avoidedUntilNanos;
+  private boolean avoided;
+
+  void onSent(long promptTokens) {
+    running++;
+    waitingTokens += promptTokens;
+  }
+
+  void onPromptRead(long promptTokens) {
+    waitingTokens -= promptTokens;
+  }
+
+  void onEnded() {
+    running--;
+  }
+
+  void onOutcome(boolean good, long nowNanos) {
+    decay(nowNanos);
+    trials++;
+    if (!good) {
+      failures++;
+    }
+  }
+
+  void avoidUntil(long nanos) {
+    avoided = true;
+    avoidedUntilNanos = nanos;
+  }
+
+  boolean avoidedAt(long nowNanos) {
+    if (avoided && nowNanos - avoidedUntilNanos >= 0) {
+      avoided = false;
+    }
+    return avoided;
+  }
+
+  double failureShare(long nowNanos) {
+    decay(nowNanos);
+    return failures / (trials + PRIOR_TRIALS);
+  }
+
+  double failures(long nowNanos) {
+    decay(nowNanos);
+    return failures;
+  }
+
+  int running() {
+    return running;
+  }
+
+  long waitingTokens() {
+    return waitingTokens;
+  }
+
+  private void decay(long nowNanos) {
+    if (trials > 0) {
+      double factor = Math.pow(0.5, (nowNanos - decayedNanos) / HALF_LIFE_NANOS);
+      trials *= factor;
+      failures *= factor;
+    }
+    decayedNanos = nowNanos;
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses the backend server for each attempt. */
+package org.guavagw.gateway.internal.placement;
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -0,0 +1,518 @@
+package org.guavagw.gateway.internal.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.guavagw.Refusal;
+import org.guavagw.RefusalCode;
+import org.guavagw.RunState;
+import org.guavagw.gateway.internal.control.ControlView;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.model.EngineSpec;
+import org.guavagw.gateway.model.Repeatability;
+import org.guavagw.gateway.model.Route;
+import org.guavagw.gateway.model.ServiceShare;
+import org.guavagw.gateway.model.ServiceSpec;
+import org.guavagw.gateway.spi.AnswerHead;
+import org.guavagw.gateway.spi.AttemptHead;
+
+/**
+ * One request from admission to its final answer: attempts, repeats, continuation of broken
+ * streams, time limits.
+ *
+ * <p>Confined to the traffic thread. Invariants: the caller gets one answer; a request that may not
+ * be repeated is sent again only if nothing of it can have run; at most one attempt is under way.
+ */
+@SuppressWarnings("FutureReturnValueIgnored")
+final class Exchange {
+  /** Attempts that backend servers turned away without executing them, beyond those that count. */
+  private static final int MAX_TURNED_AWAY = 3;
+
+  /** Connections that each entry may always have to a backend server. */
+  private static final int MIN_CONNECTIONS = 4;
+
+  private static final int DEFAULT_PRIORITY = 5;
+  private static final int MAX_PRIORITY = 9;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  private final ExchangeParts parts;
+  private final AdmittedRequest request;
+  private final AnswerSink sink;
+  private final Runnable onDone;
+  private final Set<String> tried = new HashSet<>();
+  private final String service;
+  private final String session;
+  private final long deadlineNanos;
+  private final OptionalLong resumeAfter;
+  private final ScheduledFuture<?> timeout;
+  private Optional<String> model;
+  private BackendServer server;
+  private Attempt attempt;
+  private AnswerCollector collector;
+  private int unreadTokens;
+  private int executed;
+  private int turnedAway;
+  private boolean sentBefore;
+  private boolean allNotRun = true;
+  private boolean begun;
+  private boolean done;
+  private long attemptSentNanos;
+  private long firstEventNanos;
+  private OptionalLong lastEvent;
+  private int eventsPassed;
+  private String outcome = "";
+
+  Exchange(ExchangeParts parts, AdmittedRequest request, AnswerSink sink, Runnable onDone) {
+    this.parts = parts;
+    this.request = request;
+    this.sink = sink;
+    this.onDone = onDone;
+    this.service = pickService(request.route());
+    this.session = sessionOf(request);
+    long allowed = request.route().timeout().toMillis();
+    OptionalLong wait = request.caller().waitMillis();
+    long millis = wait.isPresent() ? Math.min(allowed, wait.getAsLong()) : allowed;
+    this.deadlineNanos = request.arrivedNanos() + millis * NANOS_PER_MILLI;
+    this.resumeAfter = request.caller().resumeAfter();
+    this.lastEvent = resumeAfter;
+    this.model = parts.models().first(request.route(), request.caller());
+    this.timeout =
+        parts
+            .loop()
+            .schedule(this::onTimeout, deadlineNanos - parts.ticker().read(), TimeUnit.NANOSECONDS);
+  }
+
+  private static String pickService(Route route) {
+    int total = route.shares().stream().mapToInt(ServiceShare::weight).sum();
+    int point = total > 0 ? ThreadLocalRandom.current().nextInt(total) : 0;
+    for (ServiceShare share : route.shares()) {
+      point -= share.weight();
+      if (point < 0) {
+        return share.service();
+      }
+    }
+    return route.shares().get(0).service();
+  }
+
+  private static String sessionOf(AdmittedRequest request) {
+    return request
+        .caller()
+        .session()
+        .orElseGet(
+            () -> {
+              int parts = request.caller().prompt().size();
+              return parts == 0
+                  ? request.caller().id()
+                  : request.caller().prompt().get(parts - 1).id();
+            });
+  }
+
+  void start() {
+    dispatch();
+  }
+
+  private void dispatch() {
+    long now = parts.ticker().read();
+    if (!parts.gate().stillValid(request)) {
+      refuse(
+          Refusal.notRun(
+              RefusalCode.STORE_UNAVAILABLE,
+              "the key can no longer be checked",
+              RetryAfter.SHUTTING_DOWN));
+      return;
+    }
+    ControlView view = parts.knowledge().get();
+    Optional<BackendServer> chosen =
+        parts.chooser().choose(view, service, session, request, model.orElse(""), tried, now);
+    if (chosen.isEmpty()) {
+      refuse(
+          Refusal.notRun(
+              RefusalCode.NO_BACKEND,
+              "no backend server of the service can take it",
+              turnedAway > 0 ? RetryAfter.ALL_FULL : RetryAfter.NO_SERVER));
+      return;
+    }
+    send(view, chosen.get(), now);
+  }
+
+  private void send(ControlView view, BackendServer chosen, long now) {
+    server = chosen;
+    tried.add(chosen.incarnation());
+    Optional<ServiceSpec> spec =
+        view.config().flatMap(c -> Optional.ofNullable(c.services().get(service)));
+    double coldShare = spec.map(ServiceSpec::coldRequestsPerSecond).orElse(0.0) / parts.entries();
+    if (coldShare > 0) {
+      parts.cold().onSent(chosen, coldShare, now);
+    }
+    long cacheTokens = spec.flatMap(ServiceSpec::engine).map(EngineSpec::cacheTokens).orElse(0L);
+    unreadTokens =
+        parts
+            .loads()
+            .onSent(
+                chosen,
+                model.orElse(""),
+                request.caller().prompt(),
+                request.caller().promptTokens(),
+                cacheTokens);
+    if (!sentBefore) {
+      parts.repeats().apply(service).onFirst(now);
+      sentBefore = true;
+    }
+    attemptSentNanos = now;
+    collector =
+        request.route().repeatability() == Repeatability.STREAM
+            ? new StreamedAnswer(this)
+            : new WholeAnswer(this);
+    int connections = spec.map(s -> s.maxConnections() / parts.entries()).orElse(MIN_CONNECTIONS);
+    attempt =
+        parts
+            .pool()
+            .send(chosen, Math.max(MIN_CONNECTIONS, connections), outgoing(chosen, now), collector);
+  }
+
+  private OutgoingRequest outgoing(BackendServer chosen, long now) {
+    AttemptHead head =
+        new AttemptHead(
+            chosen,
+            request.team(),
+            Math.max(1, (deadlineNanos - now) / NANOS_PER_MILLI),
+            model,
+            lastEvent,
+            priority());
+    return new OutgoingRequest(
+        request.caller().id(),
+        request.head().method(),
+        request.head().uri(),
+        parts.format().attemptHeaders(request.head(), head),
+        request.body(),
+        request.chunked(),
+        !request.route().repeatable());
+  }
+
+  private int priority() {
+    int priority =
+        request.team().stream()
+            .flatMapToInt(t -> t.priority().stream())
+            .findFirst()
+            .orElse(request.route().priority());
+    return request.route().models().isEmpty()
+        ? DEFAULT_PRIORITY
+        : Math.min(MAX_PRIORITY, Math.max(0, priority));
+  }
+
+  void onAnswerBegins(AnswerHead answer) {
+    if (!answer.notExecuted()) {
+      executed++;
+      allNotRun = false;
+    }
+  }
+
+  /** Passes a whole answer on and takes its body. */
+  void answerWhole(AnswerHead answer, HttpHeaders headers, ByteBuf body) {
+    boolean good = answer.status() < 500;
+    note(good, good);
+    end(good ? "answered" : "server_error", answer.status());
+    sink.answer(answer.status(), headers, body);
+    onDone.run();
+  }
+
+  /** Passes an event on and takes its bytes. */
+  void passEvent(AnswerHead answer, HttpResponse head, EventSplitter.Event event) {
+    if (done || attempt == null) {
+      event.bytes().release();
+      return;
+    }
+    if (!begun) {
+      Optional<String> better =
+          model.flatMap(
+              m ->
+                  parts
+                      .models()
+                      .instead(request.route(), request.caller(), m, answer.confidence()));
+      if (better.isPresent() && tryStrongerModel(better.get())) {
+        event.bytes().release();
+        return;
+      }
+      begun = true;
+      firstEventNanos = parts.ticker().read();
+      sink.begin(head.status().code(), HopHeaders.endToEnd(head.headers()));
+    }
+    promptRead();
+    if (event.id().isPresent()) {
+      lastEvent = event.id();
+    }
+    eventsPassed++;
+    if (!sink.write(event.bytes())) {
+      attempt.setReading(false);
+    }
+  }
+
+  private boolean tryStrongerModel(String stronger) {
+    if (executed >= request.route().maxAttempts()
+        || !parts.repeats().apply(service).tryRepeat(parts.ticker().read())) {
+      return false;
+    }
+    String weaker = model.orElse("");
+    Attempt dropped = attempt;
+    endAttempt();
+    dropped.cancel();
+    parts.log().event("answer_dropped").with("id", id()).with("model", weaker).write();
+    model = Optional.of(stronger);
+    tried.clear();
+    dispatch();
+    return true;
+  }
+
+  private void promptRead() {
+    if (unreadTokens > 0) {
+      parts.loads().onPromptRead(server, unreadTokens);
+      unreadTokens = 0;
+    }
+  }
+
+  /** The caller can take more. */
+  void onWritable() {
+    if (attempt != null) {
+      attempt.setReading(true);
+    }
+  }
+
+  OptionalLong lastEvent() {
+    return lastEvent;
+  }
+
+  int eventsPassed() {
+    return eventsPassed;
+  }
+
+  void finishStream() {
+    note(true, true);
+    parts.versions().onServed(session, server.version(), parts.ticker().read());
+    end("streamed", 200);
+    sink.finish();
+    onDone.run();
+  }
+
+  /** Gives the attempt under way up for a reason of the gateway. */
+  void giveUp(AttemptFailure failure) {
+    if (attempt == null) {
+      return;
+    }
+    attempt.cancel();
+    onFailed(failure);
+  }
+
+  /** An answer that was a server error will be asked for again; leave was taken already. */
+  void onServerError() {
+    note(false, false);
+    logFailedAttempt(AttemptFailure.SERVER_ERROR);
+    endAttempt();
+    dispatch();
+  }
+
+  void onFailed(AttemptFailure failure) {
+    if (done || server == null) {
+      return;
+    }
+    long now = parts.ticker().read();
+    logFailedAttempt(failure);
+    switch (failure) {
+      case UNREACHABLE -> parts.loads().onUnreachable(server, now);
+      case NO_CONNECTION -> {
+        // says nothing about the backend server
+      }
+      case NOT_EXECUTED -> {
+        turnedAway++;
+        parts.loads().onOutcome(server, false, now);
+      }
+      default -> {
+        allNotRun = false;
+        note(false, false);
+      }
+    }
+    if (failure.mayHaveRun() && executed == 0) {
+      executed = 1;
+    }
+    endAttempt();
+    if (failure.mayHaveRun() && !request.route().repeatable()) {
+      failWithUnknownOutcome(failure);
+    } else if (mayTryAgain(failure, now)) {
+      dispatch();
+    } else {
+      failFinally(failure);
+    }
+  }
+
+  private boolean mayTryAgain(AttemptFailure failure, long now) {
+    if (failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.NO_CONNECTION) {
+      return true;
+    }
+    if (executed >= request.route().maxAttempts() || turnedAway > MAX_TURNED_AWAY) {
+      return false;
+    }
+    return parts.repeats().apply(service).tryRepeat(now);
+  }
+
+  /** Takes leave to send the request again after an answer that it could also be given. */
+  boolean tryRepeat() {
+    return request.route().repeatability() == Repeatability.IDEMPOTENT
+        && executed < request.route().maxAttempts()
+        && parts.repeats().apply(service).tryRepeat(parts.ticker().read());
+  }
+
+  private void failWithUnknownOutcome(AttemptFailure failure) {
+    refuse(
+        Refusal.after(
+            RefusalCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, "the answer was lost: " + failure));
+  }
+
+  private void failFinally(AttemptFailure failure) {
+    if (allNotRun) {
+      refuse(
+          Refusal.notRun(
+              RefusalCode.OVERLOADED, "backend servers turned it away", RetryAfter.ALL_FULL));
+    } else {
+      refuse(
+          Refusal.after(
+              RefusalCode.BACKEND_FAILED, RunState.UNKNOWN, "attempts failed: " + failure));
+    }
+  }
+
+  private void refuse(Refusal refusal) {
+    Refusal truthful =
+        allNotRun
+            ? refusal
+            : Refusal.after(
+                refusal.code().httpStatus() == 503 ? RefusalCode.BACKEND_FAILED : refusal.code(),
+                RunState.UNKNOWN,
+                refusal.reason());
+    end(truthful.code().wireName() + ": " + truthful.reason(), truthful.code().httpStatus());
+    if (begun) {
+      sink.abort();
+    } else {
+      OwnAnswers.send(sink, truthful);
+    }
+    onDone.run();
+  }
+
+  private void onTimeout() {
+    if (done) {
+      return;
+    }
+    if (attempt != null) {
+      attempt.cancel();
+      allNotRun = false;
+    }
+    refuse(Refusal.after(RefusalCode.DEADLINE_PASSED, RunState.UNKNOWN, "no answer in time"));
+  }
+
+  /** The caller has gone. */
+  void onCallerGone() {
+    if (done) {
+      return;
+    }
+    if (attempt != null) {
+      attempt.cancel();
+    }
+    end("caller_gone", 0);
+    onDone.run();
+  }
+
+  private void note(boolean good, boolean success) {
+    long now = parts.ticker().read();
+    parts.loads().onOutcome(server, good, now);
+    if (success) {
+      long until = firstEventNanos > 0 ? firstEventNanos : now;
+      double millis = (until - attemptSentNanos) / (double) NANOS_PER_MILLI;
+      parts
+          .rollouts()
+          .onSuccess(
+              service,
+              server.version(),
+              request.route().name(),
+              request.route().name() + model.map(m -> "/" + m).orElse(""),
+              millis);
+    } else {
+      parts.rollouts().onFailure(service, server.version(), request.route().name());
+    }
+  }
+
+  private void endAttempt() {
+    if (server != null) {
+      promptRead();
+      parts.loads().onEnded(server);
+      server = null;
+    }
+    attempt = null;
+    if (collector != null) {
+      AnswerCollector ended = collector;
+      collector = null;
+      parts.loop().execute(ended::release);
+    }
+  }
+
+  private void end(String how, int status) {
+    done = true;
+    outcome = how;
+    timeout.cancel(false);
+    logOutcome(status);
+    endAttempt();
+    request.body().release();
+  }
+
+  private String id() {
+    return request.caller().id();
+  }
+
+  private void logFailedAttempt(AttemptFailure failure) {
+    parts.metrics().onAttemptFailed(failure.name());
+    parts
+        .log()
+        .event("attempt_failed")
+        .with("id", id())
+        .with("backend", server.id())
+        .with("backend_version", server.version())
+        .with("data_centre", server.dataCentre())
+        .with("failure", failure.name())
+        .with("events_passed", eventsPassed)
+        .with("after_ms", (parts.ticker().read() - attemptSentNanos) / NANOS_PER_MILLI)
+        .write();
+  }
+
+  private void logOutcome(int status) {
+    long now = parts.ticker().read();
+    long millis = (now - request.arrivedNanos()) / NANOS_PER_MILLI;
+    parts.metrics().onRequest(request.route().repeatability().name(), status, millis);
+    EventLog.Line line =
+        parts
+            .log()
+            .event("request")
+            .with("id", id())
+            .with("route", request.route().name())
+            .with("team", request.team().map(t -> t.name()).orElse(""))
+            .with("outcome", outcome)
+            .with("status", status)
+            .with("ms", millis)
+            .with("executed", executed)
+            .with("turned_away", turnedAway)
+            .with("config_version", request.configVersion())
+            .with("orders_age_ms", parts.knowledge().ordersAge().toMillis());
+    model.ifPresent(m -> line.with("model", m));
+    if (server != null) {
+      line.with("backend", server.id()).with("backend_version", server.version());
+    }
+    if (firstEventNanos > 0) {
+      line.with("first_event_ms", (firstEventNanos - request.arrivedNanos()) / NANOS_PER_MILLI)
+          .with("events", eventsPassed);
+    }
+    line.write();
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeParts.java
@@ -0,0 +1,38 @@
+package org.guavagw.gateway.internal.relay;
+
+import com.google.common.base.Ticker;
+import io.netty.channel.EventLoop;
+import java.util.function.Function;
+import org.guavagw.gateway.internal.cascade.ModelPolicy;
+import org.guavagw.gateway.internal.control.Knowledge;
+import org.guavagw.gateway.internal.limits.ColdGate;
+import org.guavagw.gateway.internal.limits.RepeatAllowance;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.placement.LoadBook;
+import org.guavagw.gateway.internal.rollout.RolloutDirector;
+import org.guavagw.gateway.internal.rollout.VersionGate;
+import org.guavagw.gateway.spi.RelayFormat;
+
+/**
+ * What all exchanges share. Immutable; the parts belong to the traffic thread.
+ *
+ * @param entries how many entries there are, this one included
+ */
+record ExchangeParts(
+    Knowledge knowledge,
+    RequestGate gate,
+    ServerChooser chooser,
+    VersionGate versions,
+    RolloutDirector rollouts,
+    LoadBook loads,
+    ColdGate cold,
+    Function<String, RepeatAllowance> repeats,
+    ModelPolicy models,
+    RelayFormat format,
+    BackendPool pool,
+    EventLoop loop,
+    Ticker ticker,
+    EventLog log,
+    GatewayMetrics metrics,
+    int entries) {}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/FrontParts.java
@@ -0,0 +1,22 @@
+package org.guavagw.gateway.internal.relay;
+
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.model.CallerLimits;
+import org.guavagw.internal.lifecycle.InFlight;
+
+/**
+ * What all connections of callers share.
+ *
+ * @param connections open connections; traffic thread only
+ * @param draining whether this entry is about to stop
+ */
+record FrontParts(
+    ExchangeParts exchanges,
+    Supplier<CallerLimits> limits,
+    Set<CallerConnection> connections,
+    BooleanSupplier draining,
+    InFlight inFlight,
+    EventLog log) {}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OwnAnswers.java
@@ -0,0 +1,54 @@
+package org.guavagw.gateway.internal.relay;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.Locale;
+import org.guavagw.Refusal;
+import org.guavagw.internal.errors.RefusalMessages;
+
+/** Answers that the gateway gives itself. Stateless. */
+final class OwnAnswers {
+  private static final JsonFactory JSON = new JsonFactory();
+  private static final double MILLIS_PER_SECOND = 1000;
+
+  private OwnAnswers() {}
+
+  /** Sends a refusal. */
+  static void send(AnswerSink sink, Refusal refusal) {
+    HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    refusal.retryAfter().ifPresent(wait -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(wait)));
+    sink.answer(
+        refusal.code().httpStatus(),
+        headers,
+        ByteBufUtil.writeUtf8(UnpooledByteBufAllocator.DEFAULT, body(refusal)));
+  }
+
+  private static String seconds(Duration wait) {
+    return String.format(Locale.ROOT, "%.3f", wait.toMillis() / MILLIS_PER_SECOND);
+  }
+
+  private static String body(Refusal refusal) {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator json = JSON.createGenerator(text)) {
+      json.writeStartObject();
+      json.writeStringField("code", refusal.code().wireName());
+      json.writeStringField("run_state", refusal.runState().wireName());
+      json.writeStringField("message", RefusalMessages.compose(refusal));
+      json.writeEndObject();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ProbeServer.java
@@ -0,0 +1,87 @@
+package org.guavagw.gateway.internal.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+
+/** Answers short questions about this process: whether it is ready, its metrics. Thread-safe. */
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class ProbeServer implements AutoCloseable {
+  private static final int MAX_QUESTION_BYTES = 4096;
+
+  private final Channel channel;
+
+  /**
+   * Starts to listen.
+   *
+   * @param answers the answer for each path
+   */
+  public ProbeServer(
+      Transport transport, InetSocketAddress address, Function<String, ProbeAnswer> answers) {
+    this.channel =
+        transport
+            .serverBootstrap()
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel accepted) {
+                    accepted
+                        .pipeline()
+                        .addLast(new HttpServerCodec())
+                        .addLast(new HttpObjectAggregator(MAX_QUESTION_BYTES))
+                        .addLast(new Handler(answers));
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  @Override
+  public void close() {
+    channel.close().syncUninterruptibly();
+  }
+
+  /** A status and a text. Immutable. */
+  public record ProbeAnswer(int status, String text) {}
+
+  /** Answers one connection. Traffic thread only. */
+  private static final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private final Function<String, ProbeAnswer> answers;
+
+    Handler(Function<String, ProbeAnswer> answers) {
+      this.answers = answers;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      ProbeAnswer answer = answers.apply(request.uri());
+      ByteBuf text = ByteBufUtil.writeUtf8(ctx.alloc(), answer.text());
+      FullHttpResponse response =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), text);
+      response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
+      ctx.writeAndFlush(response);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -0,0 +1,146 @@
+package org.guavagw.gateway.internal.relay;
+
+import com.google.common.base.Ticker;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
+import org.guavagw.gateway.GatewaySettings;
+import org.guavagw.gateway.internal.cascade.ModelPolicy;
+import org.guavagw.gateway.internal.control.ControlView;
+import org.guavagw.gateway.internal.control.Knowledge;
+import org.guavagw.gateway.internal.limits.ColdGate;
+import org.guavagw.gateway.internal.limits.RepeatAllowance;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.placement.AffinityPlacer;
+import org.guavagw.gateway.internal.placement.LoadBook;
+import org.guavagw.gateway.internal.rollout.RolloutDirector;
+import org.guavagw.gateway.internal.rollout.VersionGate;
+import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.model.CallerLimits;
+import org.guavagw.gateway.model.GatewayConfig;
+import org.guavagw.gateway.spi.RelayFormat;
+import org.guavagw.internal.lifecycle.Closer;
+import org.guavagw.internal.lifecycle.InFlight;
+
+/** The traffic side of the gateway. Thread-safe; its parts live on the traffic thread. */
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class Relay implements AutoCloseable {
+  /** How often what is known of backend servers that are gone is dropped. */
+  private static final Duration TIDY_PERIOD = Duration.ofSeconds(1);
+
+  /**
+   * Share of the common bounds that this entry uses; the rest is for counts that differ in time.
+   */
+  private static final double BOUND_SHARE = 0.7;
+
+  private final Knowledge knowledge;
+  private final LoadBook loads = new LoadBook();
+  private final BackendPool pool;
+  private final FrontServer front;
+  private final EventLoop loop;
+  private final InFlight inFlight = new InFlight();
+  private final AtomicBoolean draining = new AtomicBoolean();
+  private final Closer closer = new Closer();
+
+  /** Starts to listen for callers. */
+  public Relay(
+      GatewaySettings settings,
+      Transport transport,
+      Knowledge knowledge,
+      RolloutDirector rollouts,
+      ModelPolicy models,
+      RelayFormat format,
+      Ticker ticker,
+      EventLog log,
+      GatewayMetrics metrics) {
+    this.knowledge = knowledge;
+    this.loop = transport.group().next();
+    this.pool = closer.register(new BackendPool(transport, format));
+    ColdGate cold = new ColdGate();
+    VersionGate versions = new VersionGate(settings.sessionEnd(), rollouts);
+    ServerChooser chooser =
+        new ServerChooser(versions, cold, new AffinityPlacer(loads), settings.dataCentre());
+    Map<String, RepeatAllowance> allowances = new HashMap<>();
+    ExchangeParts exchanges =
+        new ExchangeParts(
+            knowledge,
+            new RequestGate(knowledge, settings.maxKeyAge()),
+            chooser,
+            versions,
+            rollouts,
+            loads,
+            cold,
+            service -> allowances.computeIfAbsent(service, s -> allowance(settings)),
+            models,
+            format,
+            pool,
+            loop,
+            ticker,
+            log,
+            metrics,
+            settings.entries());
+    Set<CallerConnection> connections = new HashSet<>();
+    FrontParts parts =
+        new FrontParts(exchanges, this::limits, connections, draining::get, inFlight, log);
+    this.front = closer.register(new FrontServer(transport, settings.callerAddress(), parts));
+    long period = TIDY_PERIOD.toMillis();
+    loop.scheduleAtFixedRate(this::tidy, period, period, TimeUnit.MILLISECONDS);
+    metrics.gauge("requests_in_flight", inFlight::count);
+  }
+
+  private static RepeatAllowance allowance(GatewaySettings settings) {
+    return new RepeatAllowance(
+        settings.repeatRatio() * BOUND_SHARE,
+        settings.repeatSlack() * BOUND_SHARE / settings.entries(),
+        settings.repeatWindow());
+  }
+
+  private CallerLimits limits() {
+    Optional<GatewayConfig> config = knowledge.get().config();
+    return config.map(GatewayConfig::limits).orElse(CallerLimits.DEFAULT);
+  }
+
+  private void tidy() {
+    ControlView view = knowledge.get();
+    Set<String> incarnations =
+        view.backendsByService().values().stream()
+            .flatMap(list -> list.stream().map(BackendServer::incarnation))
+            .collect(Collectors.toSet());
+    pool.retain(incarnations);
+    loads.retain(incarnations);
+  }
+
+  /** Address that callers connect to. */
+  public InetSocketAddress callerAddress() {
+    return front.address();
+  }
+
+  /** Tells callers with their next answer to go elsewhere. */
+  public void drain() {
+    draining.set(true);
+  }
+
+  /** Closes connections of callers that wait for nothing. */
+  public void closeIdleConnections() {
+    loop.execute(front::closeIdleConnections);
+  }
+
+  /** Waits until every request has its answer, and says whether that came about in time. */
+  public boolean awaitRequests(Duration limit) throws InterruptedException {
+    return inFlight.awaitNone(limit);
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ServerChooser.java
@@ -0,0 +1,55 @@
+package org.guavagw.gateway.internal.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.guavagw.gateway.internal.control.ControlView;
+import org.guavagw.gateway.internal.limits.ColdGate;
+import org.guavagw.gateway.internal.placement.PlacementQuery;
+import org.guavagw.gateway.internal.placement.Placer;
+import org.guavagw.gateway.internal.rollout.VersionGate;
+import org.guavagw.gateway.model.BackendServer;
+
+/**
+ * Finds the backend server for an attempt: those that no rule forbids, of the right version, not
+ * colder than they bear, and among them the best placed. Traffic thread only.
+ */
+final class ServerChooser {
+  private final VersionGate versions;
+  private final ColdGate cold;
+  private final Placer placer;
+  private final String localDataCentre;
+
+  ServerChooser(VersionGate versions, ColdGate cold, Placer placer, String localDataCentre) {
+    this.versions = versions;
+    this.cold = cold;
+    this.placer = placer;
+    this.localDataCentre = localDataCentre;
+  }
+
+  Optional<BackendServer> choose(
+      ControlView view,
+      String service,
+      String session,
+      AdmittedRequest request,
+      String model,
+      Set<String> excluded,
+      long nowNanos) {
+    List<BackendServer> usable =
+        view.backends(service).stream()
+            .filter(s -> !s.draining())
+            .filter(s -> !view.orders().evacuated().contains(s.dataCentre()))
+            .toList();
+    List<BackendServer> ofVersion = versions.narrow(view, service, session, usable, nowNanos);
+    List<BackendServer> warm = ofVersion.stream().filter(s -> cold.allows(s, nowNanos)).toList();
+    return placer.choose(
+        new PlacementQuery(
+            warm,
+            excluded,
+            localDataCentre,
+            model,
+            request.caller().prompt(),
+            request.caller().promptTokens(),
+            nowNanos));
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutDirector.java
@@ -0,0 +1,194 @@
+package org.guavagw.gateway.internal.rollout;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.guavagw.gateway.internal.control.ControlView;
+import org.guavagw.gateway.internal.control.Knowledge;
+import org.guavagw.gateway.internal.control.Orders.ObservedRollout;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.model.RolloutOrder;
+import org.guavagw.gateway.model.RolloutState;
+import org.guavagw.gateway.model.RolloutStatus;
+import org.guavagw.gateway.spi.ControlFormat;
+import org.guavagw.gateway.spi.ControlStore;
+
+/**
+ * Begins, judges and ends rollouts.
+ *
+ * <p>Every entry may report a state; a conditional write lets one report win, and a state other
+ * than RUNNING is never changed. Evidence and decisions are confined to the traffic thread; writes
+ * go through the control thread.
+ */
+@SuppressWarnings("FutureReturnValueIgnored")
+public final class RolloutDirector implements RolloutClock {
+  /** How often rollouts are looked at: a small part of the time to take a bad version back. */
+  private static final Duration PERIOD = Duration.ofMillis(250);
+
+  /** Wait before a write that failed is tried again. */
+  private static final Duration WRITE_PAUSE = Duration.ofMillis(500);
+
+  private final Knowledge knowledge;
+  private final ControlStore store;
+  private final ControlFormat format;
+  private final ScheduledExecutorService traffic;
+  private final ScheduledExecutorService control;
+  private final EventLog log;
+  private final Map<String, Trial> trials = new HashMap<>();
+
+  /** A director that looks at rollouts from {@link #start} on. */
+  public RolloutDirector(
+      Knowledge knowledge,
+      ControlStore store,
+      ControlFormat format,
+      ScheduledExecutorService traffic,
+      ScheduledExecutorService control,
+      EventLog log) {
+    this.knowledge = knowledge;
+    this.store = store;
+    this.format = format;
+    this.traffic = traffic;
+    this.control = control;
+    this.log = log;
+  }
+
+  /** Begins to look at rollouts. */
+  public void start() {
+    long period = PERIOD.toMillis();
+    traffic.scheduleAtFixedRate(this::review, period, period, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public Duration elapsed(ObservedRollout rollout, Optional<RolloutStatus> status) {
+    return status
+        .map(s -> Duration.ofMillis(Math.max(0, knowledge.storeMillis() - s.startedMillis())))
+        .orElse(Duration.ZERO);
+  }
+
+  @Override
+  public boolean isRejected(RolloutOrder order) {
+    Trial trial = trials.get(order.service());
+    return trial != null && trial.revision == order.revision() && trial.rejected;
+  }
+
+  /** Takes a success into account. */
+  public void onSuccess(String service, String version, String route, String work, double millis) {
+    underWay(service)
+        .ifPresent(
+            t -> t.evidence.onSuccess(route, work, millis, version.equals(t.order.toVersion())));
+  }
+
+  /** Takes a failure of a backend server into account. */
+  public void onFailure(String service, String version, String route) {
+    underWay(service)
+        .ifPresent(
+            t -> {
+              boolean onNew = version.equals(t.order.toVersion());
+              t.evidence.onFailure(route, onNew);
+              if (onNew) {
+                judge(t);
+              }
+            });
+  }
+
+  private Optional<Trial> underWay(String service) {
+    return Optional.ofNullable(trials.get(service));
+  }
+
+  private void review() {
+    ControlView view = knowledge.get();
+    trials.keySet().retainAll(view.orders().rollouts().keySet());
+    for (ObservedRollout observed : view.orders().rollouts().values()) {
+      review(view, observed);
+    }
+  }
+
+  private void review(ControlView view, ObservedRollout observed) {
+    RolloutOrder order = observed.order();
+    Optional<RolloutStatus> row =
+        Optional.ofNullable(view.orders().statuses().get(order.service()));
+    Optional<RolloutStatus> answer = row.filter(s -> s.answers(order));
+    if (answer.isPresent() && answer.get().state() != RolloutState.RUNNING) {
+      trials.remove(order.service());
+      return;
+    }
+    Trial trial = trials.get(order.service());
+    if (trial == null || trial.revision != order.revision()) {
+      trial = new Trial(order);
+      trials.put(order.service(), trial);
+    }
+    if (answer.isEmpty()) {
+      report(trial, row, RolloutState.RUNNING, knowledge.storeMillis());
+      return;
+    }
+    judge(trial);
+    long started = answer.get().startedMillis();
+    if (trial.rejected) {
+      report(trial, row, RolloutState.ROLLED_BACK, started);
+    } else if (RolloutPlan.mayComplete(elapsed(observed, answer), order.within())) {
+      report(trial, row, RolloutState.DONE, started);
+    }
+  }
+
+  private void judge(Trial trial) {
+    if (trial.rejected || !trial.evidence.alarming()) {
+      return;
+    }
+    trial.rejected = true;
+    log.event("rollout_rejected")
+        .with("service", trial.order.service())
+        .with("to", trial.order.toVersion())
+        .with("answers", (long) trial.evidence.answers())
+        .with("bad", (long) trial.evidence.badAnswers())
+        .write();
+  }
+
+  private void report(
+      Trial trial, Optional<RolloutStatus> row, RolloutState state, long startedMillis) {
+    if (trial.writing) {
+      return;
+    }
+    trial.writing = true;
+    RolloutOrder order = trial.order;
+    byte[] value = format.rolloutStatus(order.service(), order.toVersion(), state, startedMillis);
+    long expected = row.map(RolloutStatus::revision).orElse(0L);
+    String key = format.rolloutStatusKey(order.service());
+    control.execute(
+        () ->
+            store
+                .putIf(format.statusTable(), key, value, expected)
+                .whenComplete((revision, failure) -> written(trial, state, failure)));
+  }
+
+  private void written(Trial trial, RolloutState state, Throwable failure) {
+    log.event("rollout_reported")
+        .with("service", trial.order.service())
+        .with("to", trial.order.toVersion())
+        .with("state", state.name())
+        .with("outcome", failure == null ? "written" : String.valueOf(failure.getMessage()))
+        .write();
+    traffic.schedule(
+        () -> {
+          trial.writing = false;
+        },
+        WRITE_PAUSE.toMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** A rollout under way. Confined to the traffic thread. */
+  private static final class Trial {
+    private final RolloutOrder order;
+    private final long revision;
+    private final VersionEvidence evidence = new VersionEvidence();
+    private boolean rejected;
+    private boolean writing;
+
+    Trial(RolloutOrder order) {
+      this.order = order;
+      this.revision = order.revision();
+    }
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Finds the route of a request. */
+package org.guavagw.gateway.internal.routing;
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/model/Team.java
@@ -0,0 +1,10 @@
+package org.guavagw.gateway.model;
+
+import java.util.OptionalInt;
+
+/**
+ * A team of callers. Immutable.
+ *
+ * @param priority overrides the priority of routes where present
+ */
+public record Team(String name, OptionalInt priority) {}
