--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -4,10 +4,11 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.guavagw.gateway.internal.cascade.StrongestModel;
+import org.guavagw.gateway.internal.cascade.ConfidenceCascade;
 import org.guavagw.gateway.internal.control.ControlPlane;
 import org.guavagw.gateway.internal.control.ControlState;
 import org.guavagw.gateway.internal.control.Knowledge;
+import org.guavagw.gateway.internal.control.MemberRoll;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.relay.ProbeServer;
@@ -52,6 +53,8 @@
     this.knowledge = new Knowledge(ticker);
     ControlStore store = closer.register(adapter.openStore(control, controlLoop, metrics));
     ControlState state = new ControlState(format, knowledge, log);
+    MemberRoll roll =
+        new MemberRoll(settings.nodeName(), settings.dataCentre(), store, format, controlLoop, log);
     RolloutDirector rollouts =
         new RolloutDirector(knowledge, store, format, trafficLoop, controlLoop, log);
     this.relay =
@@ -61,13 +64,14 @@
                 traffic,
                 knowledge,
                 rollouts,
-                new StrongestModel(),
+                new ConfidenceCascade(settings.acceptedConfidence()),
                 adapter.relayFormat(),
                 ticker,
                 log,
-                metrics));
+                metrics,
+                roll::members));
     ControlPlane plane =
-        closer.register(new ControlPlane(store, format, state, controlLoop, ticker, log));
+        closer.register(new ControlPlane(store, format, state, roll, controlLoop, ticker, log));
     closer.register(new ProbeServer(traffic, settings.readyAddress(), this::readiness));
     closer.register(
         new ProbeServer(
@@ -85,7 +89,6 @@
     log.event("started")
         .with("data_centre", settings.dataCentre())
         .with("callers", settings.callerAddress().toString())
-        .with("entries", settings.entries())
         .write();
     return gateway;
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -13,12 +13,13 @@
  * @param readyAddress where the balancer asks whether this entry is ready
  * @param readyPath path of that question
  * @param metricsAddress where metrics are served
- * @param entries how many entries share the common bounds
  * @param maxKeyAge age of knowledge beyond which keys are not accepted; empty for no bound
  * @param sessionEnd silence after which a session has ended
  * @param repeatRatio repeats that all entries may send for each request of the window
  * @param repeatSlack further repeats in each window, of all entries together
  * @param repeatWindow window of the two bounds on repeats
+ * @param acceptedConfidence confidence in percent from which the smallest model's answer is passed
+ *     on
  * @param shutdownLimit longest time that a shutdown takes
  */
 public record GatewaySettings(
@@ -28,10 +29,10 @@
     InetSocketAddress readyAddress,
     String readyPath,
     InetSocketAddress metricsAddress,
-    int entries,
     Optional<Duration> maxKeyAge,
     Duration sessionEnd,
     double repeatRatio,
     double repeatSlack,
     Duration repeatWindow,
+    int acceptedConfidence,
     Duration shutdownLimit) {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -20,15 +20,19 @@
   private final ScheduledExecutorService control;
   private final List<TableWatch> watches;
 
+  private final MemberRoll roll;
+
   /** A control plane that starts on {@link #start}. */
   public ControlPlane(
       ControlStore store,
       ControlFormat format,
       ControlState state,
+      MemberRoll roll,
       ScheduledExecutorService control,
       Ticker ticker,
       EventLog log) {
     this.control = control;
+    this.roll = roll;
     this.watches =
         List.of(
             new TableWatch(
@@ -59,7 +63,11 @@
 
   /** Begins to follow the tables. */
   public void start() {
-    control.execute(() -> watches.forEach(TableWatch::start));
+    control.execute(
+        () -> {
+          watches.forEach(TableWatch::start);
+          roll.start();
+        });
   }
 
   @Override
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Members.java
@@ -0,0 +1,64 @@
+package org.guavagw.gateway.internal.control;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * The entries that share the common bounds. Immutable.
+ *
+ * @param self name of this entry
+ * @param all every entry that registered, this one included
+ */
+public record Members(String self, List<Member> all) {
+  /** Entries that are assumed until the list was read: enough to keep every bound. */
+  private static final int ASSUMED_ENTRIES = 16;
+
+  /**
+   * Requests that a cold backend server may get from one entry above its even share, in a second.
+   */
+  private static final double COLD_BURST_SHARE = 0.5;
+
+  public Members {
+    all = List.copyOf(all);
+  }
+
+  /** How many entries share the bounds. */
+  public int count() {
+    return all.isEmpty() ? ASSUMED_ENTRIES : all.size();
+  }
+
+  /**
+   * Requests that this entry may send to a cold backend server each second.
+   *
+   * <p>Each entry may be one request ahead of its share, so only as many entries take part as that
+   * leaves within the bound; those of the backend server's own data centre come first.
+   */
+  public double coldShare(String server, String dataCentre, double toleratedPerSecond) {
+    int parts = (int) Math.max(1, Math.floor(toleratedPerSecond * COLD_BURST_SHARE));
+    if (count() <= parts || all.isEmpty()) {
+      return toleratedPerSecond / count();
+    }
+    boolean takesPart =
+        all.stream()
+            .sorted(
+                Comparator.comparing((Member m) -> !m.dataCentre().equals(dataCentre))
+                    .thenComparing(m -> hash(m.name(), server)))
+            .limit(parts)
+            .anyMatch(m -> m.name().equals(self));
+    return takesPart ? toleratedPerSecond / parts : 0;
+  }
+
+  private static long hash(String member, String server) {
+    return Hashing.murmur3_128()
+        .newHasher()
+        .putString(member, StandardCharsets.UTF_8)
+        .putString(server, StandardCharsets.UTF_8)
+        .hash()
+        .asLong();
+  }
+
+  /** One entry. Immutable. */
+  public record Member(String name, String dataCentre) {}
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/RepeatAllowance.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/RepeatAllowance.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.limits;
 
 import java.time.Duration;
+import java.util.function.DoubleSupplier;
 
 /**
  * Bounds how often this entry sends a request of a service to a further backend server.
@@ -11,7 +12,7 @@
  */
 public final class RepeatAllowance {
   private final double ratio;
-  private final double slack;
+  private final DoubleSupplier slack;
   private final SlidingCount requests;
   private final SlidingCount repeats;
 
@@ -21,7 +22,7 @@
    * @param ratio repeats for each request of the window
    * @param slack further repeats in each window
    */
-  public RepeatAllowance(double ratio, double slack, Duration window) {
+  public RepeatAllowance(double ratio, DoubleSupplier slack, Duration window) {
     this.ratio = ratio;
     this.slack = slack;
     this.requests = new SlidingCount(window);
@@ -35,7 +36,7 @@
 
   /** Takes leave for one repeat, if there is any. */
   public boolean tryRepeat(long nowNanos) {
-    if (repeats.sum(nowNanos) + 1 > ratio * requests.sum(nowNanos) + slack) {
+    if (repeats.sum(nowNanos) + 1 > ratio * requests.sum(nowNanos) + slack.getAsDouble()) {
       return false;
     }
     repeats.add(nowNanos);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendPool.java
@@ -82,8 +82,7 @@
                   protected void initChannel(Channel channel) {
                     channel
                         .pipeline()
-                        .addLast(
-                            new HttpClientCodec(DECODING, false, false))
+                        .addLast(new HttpClientCodec(DECODING, false, false))
                         .addLast(connection);
                   }
                 })
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -14,7 +14,6 @@
 import org.guavagw.RefusalCode;
 import org.guavagw.RunState;
 import org.guavagw.gateway.internal.control.ControlView;
-import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.EngineSpec;
 import org.guavagw.gateway.model.Repeatability;
@@ -47,6 +46,7 @@
   private final AdmittedRequest request;
   private final AnswerSink sink;
   private final Runnable onDone;
+  private final ExchangeLog log;
   private final Set<String> tried = new HashSet<>();
   private final String service;
   private final String session;
@@ -68,13 +68,13 @@
   private long firstEventNanos;
   private OptionalLong lastEvent;
   private int eventsPassed;
-  private String outcome = "";
 
   Exchange(ExchangeParts parts, AdmittedRequest request, AnswerSink sink, Runnable onDone) {
     this.parts = parts;
     this.request = request;
     this.sink = sink;
     this.onDone = onDone;
+    this.log = new ExchangeLog(parts, request);
     this.service = pickService(request.route());
     this.session = sessionOf(request);
     long allowed = request.route().timeout().toMillis();
@@ -148,10 +148,7 @@
     tried.add(chosen.incarnation());
     Optional<ServiceSpec> spec =
         view.config().flatMap(c -> Optional.ofNullable(c.services().get(service)));
-    double coldShare = spec.map(ServiceSpec::coldRequestsPerSecond).orElse(0.0) / parts.entries();
-    if (coldShare > 0) {
-      parts.cold().onSent(chosen, coldShare, now);
-    }
+    parts.cold().onSent(chosen, now);
     long cacheTokens = spec.flatMap(ServiceSpec::engine).map(EngineSpec::cacheTokens).orElse(0L);
     unreadTokens =
         parts
@@ -171,7 +168,8 @@
         request.route().repeatability() == Repeatability.STREAM
             ? new StreamedAnswer(this)
             : new WholeAnswer(this);
-    int connections = spec.map(s -> s.maxConnections() / parts.entries()).orElse(MIN_CONNECTIONS);
+    int connections =
+        spec.map(s -> s.maxConnections() / parts.members().get().count()).orElse(MIN_CONNECTIONS);
     attempt =
         parts
             .pool()
@@ -237,7 +235,7 @@
                   parts
                       .models()
                       .instead(request.route(), request.caller(), m, answer.confidence()));
-      if (better.isPresent() && tryStrongerModel(better.get())) {
+      if (better.isPresent() && tryStrongerModel(better.get(), answer.confidence().orElse(-1))) {
         event.bytes().release();
         return;
       }
@@ -255,7 +253,7 @@
     }
   }
 
-  private boolean tryStrongerModel(String stronger) {
+  private boolean tryStrongerModel(String stronger, int confidence) {
     if (executed >= request.route().maxAttempts()
         || !parts.repeats().apply(service).tryRepeat(parts.ticker().read())) {
       return false;
@@ -264,7 +262,7 @@
     Attempt dropped = attempt;
     endAttempt();
     dropped.cancel();
-    parts.log().event("answer_dropped").with("id", id()).with("model", weaker).write();
+    log.answerDropped(weaker, confidence);
     model = Optional.of(stronger);
     tried.clear();
     dispatch();
@@ -313,7 +311,7 @@
   /** An answer that was a server error will be asked for again; leave was taken already. */
   void onServerError() {
     note(false, false);
-    logFailedAttempt(AttemptFailure.SERVER_ERROR);
+    log.attemptFailed(server, AttemptFailure.SERVER_ERROR, eventsPassed, attemptSentNanos);
     endAttempt();
     dispatch();
   }
@@ -323,7 +321,7 @@
       return;
     }
     long now = parts.ticker().read();
-    logFailedAttempt(failure);
+    log.attemptFailed(server, failure, eventsPassed, attemptSentNanos);
     switch (failure) {
       case UNREACHABLE -> parts.loads().onUnreachable(server, now);
       case NO_CONNECTION -> {
@@ -461,58 +459,12 @@
 
   private void end(String how, int status) {
     done = true;
-    outcome = how;
     timeout.cancel(false);
-    logOutcome(status);
+    log.ended(
+        new ExchangeLog.End(how, status, executed, turnedAway, firstEventNanos, eventsPassed),
+        model,
+        Optional.ofNullable(server));
     endAttempt();
     request.body().release();
   }
-
-  private String id() {
-    return request.caller().id();
-  }
-
-  private void logFailedAttempt(AttemptFailure failure) {
-    parts.metrics().onAttemptFailed(failure.name());
-    parts
-        .log()
-        .event("attempt_failed")
-        .with("id", id())
-        .with("backend", server.id())
-        .with("backend_version", server.version())
-        .with("data_centre", server.dataCentre())
-        .with("failure", failure.name())
-        .with("events_passed", eventsPassed)
-        .with("after_ms", (parts.ticker().read() - attemptSentNanos) / NANOS_PER_MILLI)
-        .write();
-  }
-
-  private void logOutcome(int status) {
-    long now = parts.ticker().read();
-    long millis = (now - request.arrivedNanos()) / NANOS_PER_MILLI;
-    parts.metrics().onRequest(request.route().repeatability().name(), status, millis);
-    EventLog.Line line =
-        parts
-            .log()
-            .event("request")
-            .with("id", id())
-            .with("route", request.route().name())
-            .with("team", request.team().map(t -> t.name()).orElse(""))
-            .with("outcome", outcome)
-            .with("status", status)
-            .with("ms", millis)
-            .with("executed", executed)
-            .with("turned_away", turnedAway)
-            .with("config_version", request.configVersion())
-            .with("orders_age_ms", parts.knowledge().ordersAge().toMillis());
-    model.ifPresent(m -> line.with("model", m));
-    if (server != null) {
-      line.with("backend", server.id()).with("backend_version", server.version());
-    }
-    if (firstEventNanos > 0) {
-      line.with("first_event_ms", (firstEventNanos - request.arrivedNanos()) / NANOS_PER_MILLI)
-          .with("events", eventsPassed);
-    }
-    line.write();
-  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeParts.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeParts.java
@@ -3,8 +3,10 @@
 import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.guavagw.gateway.internal.cascade.ModelPolicy;
 import org.guavagw.gateway.internal.control.Knowledge;
+import org.guavagw.gateway.internal.control.Members;
 import org.guavagw.gateway.internal.limits.ColdGate;
 import org.guavagw.gateway.internal.limits.RepeatAllowance;
 import org.guavagw.gateway.internal.logging.EventLog;
@@ -17,7 +19,7 @@
 /**
  * What all exchanges share. Immutable; the parts belong to the traffic thread.
  *
- * @param entries how many entries there are, this one included
+ * @param members the entries that share the common bounds
  */
 record ExchangeParts(
     Knowledge knowledge,
@@ -35,4 +37,4 @@
     Ticker ticker,
     EventLog log,
     GatewayMetrics metrics,
-    int entries) {}
+    Supplier<Members> members) {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/HopHeaders.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/HopHeaders.java
@@ -32,7 +32,8 @@
    * A copy without the headers that concern one connection only, those it names itself included.
    */
   public static HttpHeaders endToEnd(HttpHeaders headers) {
-    HttpHeaders copy = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+    HttpHeaders copy =
+        DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
     for (Map.Entry<String, String> header : headers) {
       copy.add(header.getKey(), header.getValue());
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OwnAnswers.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OwnAnswers.java
@@ -25,7 +25,8 @@
 
   /** Sends a refusal. */
   static void send(AnswerSink sink, Refusal refusal) {
-    HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
+    HttpHeaders headers =
+        DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
     headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
     refusal.retryAfter().ifPresent(wait -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(wait)));
     sink.answer(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -11,11 +11,13 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.guavagw.gateway.GatewaySettings;
 import org.guavagw.gateway.internal.cascade.ModelPolicy;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.control.Knowledge;
+import org.guavagw.gateway.internal.control.Members;
 import org.guavagw.gateway.internal.limits.ColdGate;
 import org.guavagw.gateway.internal.limits.RepeatAllowance;
 import org.guavagw.gateway.internal.logging.EventLog;
@@ -27,6 +29,7 @@
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.CallerLimits;
 import org.guavagw.gateway.model.GatewayConfig;
+import org.guavagw.gateway.model.ServiceSpec;
 import org.guavagw.gateway.spi.RelayFormat;
 import org.guavagw.internal.lifecycle.Closer;
 import org.guavagw.internal.lifecycle.InFlight;
@@ -43,6 +46,7 @@
   private static final double BOUND_SHARE = 0.7;
 
   private final Knowledge knowledge;
+  private final Supplier<Members> members;
   private final LoadBook loads = new LoadBook();
   private final BackendPool pool;
   private final FrontServer front;
@@ -61,11 +65,13 @@
       RelayFormat format,
       Ticker ticker,
       EventLog log,
-      GatewayMetrics metrics) {
+      GatewayMetrics metrics,
+      Supplier<Members> members) {
     this.knowledge = knowledge;
+    this.members = members;
     this.loop = transport.group().next();
     this.pool = closer.register(new BackendPool(transport, format));
-    ColdGate cold = new ColdGate();
+    ColdGate cold = new ColdGate(this::coldShare);
     VersionGate versions = new VersionGate(settings.sessionEnd(), rollouts);
     ServerChooser chooser =
         new ServerChooser(versions, cold, new AffinityPlacer(loads), settings.dataCentre());
@@ -87,7 +93,7 @@
             ticker,
             log,
             metrics,
-            settings.entries());
+            members);
     Set<CallerConnection> connections = new HashSet<>();
     FrontParts parts =
         new FrontParts(exchanges, this::limits, connections, draining::get, inFlight, log);
@@ -97,10 +103,22 @@
     metrics.gauge("requests_in_flight", inFlight::count);
   }
 
-  private static RepeatAllowance allowance(GatewaySettings settings) {
+  private double coldShare(BackendServer server) {
+    double tolerated =
+        knowledge
+            .get()
+            .config()
+            .flatMap(c -> Optional.ofNullable(c.services().get(server.service())))
+            .map(ServiceSpec::coldRequestsPerSecond)
+            .filter(perSecond -> perSecond > 0)
+            .orElse(Double.MAX_VALUE);
+    return members.get().coldShare(server.id(), server.dataCentre(), tolerated);
+  }
+
+  private RepeatAllowance allowance(GatewaySettings settings) {
     return new RepeatAllowance(
         settings.repeatRatio() * BOUND_SHARE,
-        settings.repeatSlack() * BOUND_SHARE / settings.entries(),
+        () -> settings.repeatSlack() * BOUND_SHARE / members.get().count(),
         settings.repeatWindow());
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/ControlFormat.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/ControlFormat.java
@@ -13,6 +13,9 @@
   /** Table with what the gateway reports. */
   String statusTable();
 
+  /** Table in which entries register. */
+  String membersTable();
+
   /** What a row means. Never throws: a row that cannot be read is {@code Unreadable}. */
   ControlRow decode(String table, StoredRow row, long nowNanos);
 
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/Samples.java
@@ -0,0 +1,82 @@
+package org.guavagw.gateway.internal;
+
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.model.Repeatability;
+import org.guavagw.gateway.model.Route;
+import org.guavagw.gateway.model.ServiceShare;
+import org.guavagw.gateway.model.Team;
+import org.guavagw.gateway.spi.CallerRequest;
+import org.guavagw.gateway.spi.PromptPart;
+
+/** Values for tests. */
+public final class Samples {
+  /** A team without a priority of its own. */
+  public static final Team TEAM = new Team("gauging", OptionalInt.empty());
+
+  private Samples() {}
+
+  /** A route of a kind to the service named "engine". */
+  public static Route route(Repeatability kind, List<String> models, int maxAttempts) {
+    return route("api.test", "/v1/", kind, models, maxAttempts);
+  }
+
+  /** A route with its place. */
+  public static Route route(
+      String host, String prefix, Repeatability kind, List<String> models, int maxAttempts) {
+    return new Route(
+        "route" + prefix,
+        host,
+        prefix,
+        kind,
+        Duration.ofSeconds(10),
+        Duration.ofSeconds(1),
+        1,
+        models,
+        List.of(new ServiceShare("engine", 1)),
+        maxAttempts,
+        false,
+        true,
+        kind == Repeatability.STREAM);
+  }
+
+  /** A warm backend server. */
+  public static BackendServer server(String id, String dataCentre, String version) {
+    return server(id, dataCentre, version, 0);
+  }
+
+  /** A backend server that is cold until a monotonic time. */
+  public static BackendServer server(
+      String id, String dataCentre, String version, long coldUntilNanos) {
+    return new BackendServer(
+        id,
+        "engine",
+        new InetSocketAddress(InetAddresses.forString("127.0.0.1"), 9000),
+        dataCentre,
+        version,
+        8,
+        false,
+        1,
+        coldUntilNanos);
+  }
+
+  /** A request with a prompt. */
+  public static CallerRequest request(String id, PromptPart... prompt) {
+    List<PromptPart> parts = List.of(prompt);
+    return new CallerRequest(
+        id,
+        Optional.of("key"),
+        OptionalLong.empty(),
+        OptionalLong.empty(),
+        Optional.empty(),
+        parts,
+        parts.stream().mapToInt(PromptPart::tokens).sum(),
+        100);
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/cascade/ConfidenceCascadeTest.java
@@ -0,0 +1,47 @@
+package org.guavagw.gateway.internal.cascade;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalInt;
+import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.model.Repeatability;
+import org.guavagw.gateway.model.Route;
+import org.junit.jupiter.api.Test;
+
+class ConfidenceCascadeTest {
+  private final Route route =
+      Samples.route(Repeatability.STREAM, List.of("small", "middle", "large"), 3);
+  private final ConfidenceCascade cascade = new ConfidenceCascade(60);
+
+  @Test
+  void shouldAskTheSmallestModelFirst() {
+    assertThat(cascade.first(route, Samples.request("r"))).contains("small");
+  }
+
+  @Test
+  void shouldAskTheStrongestWhereTheSmallestDoubtsItself() {
+    assertThat(cascade.instead(route, Samples.request("r"), "small", OptionalInt.of(59)))
+        .contains("large");
+    assertThat(cascade.instead(route, Samples.request("r"), "small", OptionalInt.empty()))
+        .contains("large");
+  }
+
+  @Test
+  void shouldPassOnWhatIsGoodEnough() {
+    assertThat(cascade.instead(route, Samples.request("r"), "small", OptionalInt.of(60))).isEmpty();
+    assertThat(cascade.instead(route, Samples.request("r"), "large", OptionalInt.of(1))).isEmpty();
+  }
+
+  @Test
+  void shouldAskTheStrongestAtOnceWhereOneAttemptIsAllowed() {
+    Route single = Samples.route(Repeatability.STREAM, List.of("small", "large"), 1);
+    assertThat(cascade.first(single, Samples.request("r"))).contains("large");
+  }
+
+  @Test
+  void shouldLeaveTheModelToCallersOfOtherRoutes() {
+    Route plain = Samples.route(Repeatability.IDEMPOTENT, List.of(), 2);
+    assertThat(cascade.first(plain, Samples.request("r"))).isEmpty();
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/limits/ColdGateTest.java
@@ -0,0 +1,60 @@
+package org.guavagw.gateway.internal.limits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.stream.IntStream;
+import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.control.Members;
+import org.guavagw.gateway.internal.control.Members.Member;
+import org.guavagw.gateway.model.BackendServer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ColdGateTest {
+  private static final long SECOND = Duration.ofSeconds(1).toNanos();
+  private static final double TOLERATED_PER_SECOND = 12;
+
+  @Test
+  void shouldSpaceRequestsToAColdServer() {
+    ColdGate gate = new ColdGate(s -> 2);
+    BackendServer cold = Samples.server("s", "dc", "v1", 3 * SECOND);
+    gate.onSent(cold, 0);
+    assertThat(gate.allows(cold, SECOND / 4)).isFalse();
+    assertThat(gate.allows(cold, SECOND / 2)).isTrue();
+  }
+
+  @Test
+  void shouldNotHoldBackRequestsToAWarmServer() {
+    ColdGate gate = new ColdGate(s -> 1);
+    BackendServer warm = Samples.server("s", "dc", "v1", 0);
+    gate.onSent(warm, SECOND);
+    assertThat(gate.allows(warm, SECOND)).isTrue();
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 7, 8, 78, 350})
+  void shouldKeepAllEntriesTogetherWithinWhatAColdServerTolerates(int entries) {
+    BackendServer cold = Samples.server("s", "dc", "v1", 10 * SECOND);
+    int sent = 0;
+    for (int entry = 0; entry < entries; entry++) {
+      Members members = members("entry-" + entry, entries);
+      double share = members.coldShare(cold.id(), "dc", TOLERATED_PER_SECOND);
+      ColdGate gate = new ColdGate(s -> share);
+      for (long now = 0; now < SECOND; now += SECOND / 1000) {
+        if (gate.allows(cold, now)) {
+          gate.onSent(cold, now);
+          sent++;
+        }
+      }
+    }
+    assertThat(sent).isPositive();
+    assertThat(sent).isLessThanOrEqualTo((int) (TOLERATED_PER_SECOND * 1.5 + 5));
+  }
+
+  private static Members members(String self, int entries) {
+    return new Members(
+        self, IntStream.range(0, entries).mapToObj(i -> new Member("entry-" + i, "dc")).toList());
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EventSplitterTest.java
@@ -0,0 +1,52 @@
+package org.guavagw.gateway.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+  private static final String STREAM =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+
+  @Test
+  void shouldKeepAnUnfinishedEventBack() {
+    EventSplitter splitter = new EventSplitter();
+    assertThat(add(splitter, "id: 1\ndata: a\n\nid: 2\nda")).containsExactly("id: 1\ndata: a\n\n");
+    assertThat(splitter.midEvent()).isTrue();
+  }
+
+  @Property
+  void shouldPassTheSameBytesHoweverTheyArrive(@ForAll @IntRange(min = 1, max = 12) int step) {
+    EventSplitter splitter = new EventSplitter();
+    StringBuilder passed = new StringBuilder();
+    for (int start = 0; start < STREAM.length(); start += step) {
+      String piece = STREAM.substring(start, Math.min(STREAM.length(), start + step));
+      add(splitter, piece).forEach(passed::append);
+    }
+    assertThat(passed.toString()).isEqualTo(STREAM);
+    assertThat(splitter.midEvent()).isFalse();
+  }
+
+  @Test
+  void shouldReadIds() {
+    EventSplitter splitter = new EventSplitter();
+    List<Long> ids = new ArrayList<>();
+    splitter
+        .add(Unpooled.copiedBuffer(STREAM, StandardCharsets.UTF_8))
+        .forEach(e -> ids.add(e.id().orElseThrow()));
+    assertThat(ids).containsExactly(1L, 2L, 3L);
+  }
+
+  private static List<String> add(EventSplitter splitter, String text) {
+    return splitter.add(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8)).stream()
+        .map(e -> e.bytes().toString(StandardCharsets.UTF_8))
+        .toList();
+  }
+}
