--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.guavagw.gateway.internal.cascade.ConfidenceCascade;
@@ -45,14 +46,15 @@
   private Gateway(GatewaySettings settings, GatewayAdapter adapter, EventLog log) {
     this.settings = settings;
     this.log = log;
-    Ticker ticker = Clocks.system().monotonic();
+    Clocks clocks = Clocks.system();
+    Ticker ticker = clocks.monotonic();
     GatewayMetrics metrics = new GatewayMetrics();
     Transport traffic = closer.register(new Transport("traffic"));
     Transport control = closer.register(new Transport("control"));
     EventLoop trafficLoop = traffic.group().next();
     EventLoop controlLoop = control.group().next();
     ControlFormat format = adapter.controlFormat();
-    this.knowledge = new Knowledge(ticker);
+    this.knowledge = new Knowledge(clocks);
     ControlStore store = closer.register(adapter.openStore(control, controlLoop, metrics));
     ControlState state = new ControlState(format, knowledge, controlLoop, log);
     Peers peers =
@@ -122,6 +124,11 @@
         : new ProbeAnswer(503, "no configuration yet\n");
   }
 
+  /** Address that callers connect to. */
+  public InetSocketAddress callerAddress() {
+    return relay.callerAddress();
+  }
+
   /** Lets requests under way end, then stops. */
   public void shutDown() throws InterruptedException {
     if (!stopping.compareAndSet(false, true)) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -17,6 +17,9 @@
   /** Changes arrive at once; a shorter wait would only cost calls. */
   private static final Duration OTHER_WAIT = Duration.ofSeconds(8);
 
+  /** Backend servers come in groups; far below the time to stop sending to one that leaves. */
+  private static final Duration BACKENDS_PAUSE = Duration.ofMillis(250);
+
   private final ScheduledExecutorService control;
   private final List<TableWatch> watches;
 
@@ -38,6 +41,7 @@
             new TableWatch(
                 format.ordersTable(),
                 ORDERS_WAIT,
+                Duration.ZERO,
                 store,
                 state.ordersMirror(),
                 control,
@@ -46,6 +50,7 @@
             new TableWatch(
                 format.backendsTable(),
                 OTHER_WAIT,
+                BACKENDS_PAUSE,
                 store,
                 state.backendsMirror(),
                 control,
@@ -54,6 +59,7 @@
             new TableWatch(
                 format.statusTable(),
                 OTHER_WAIT,
+                Duration.ZERO,
                 store,
                 state.statusMirror(),
                 control,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
@@ -27,6 +27,7 @@
 
   private final String table;
   private final Duration wait;
+  private final Duration pause;
   private final ControlStore store;
   private final TableMirror mirror;
   private final ScheduledExecutorService control;
@@ -37,9 +38,16 @@
   private boolean failing;
   private boolean closed;
 
+  /**
+   * A watch.
+   *
+   * @param wait how long the store waits for a change
+   * @param pause time after a change in which further ones gather, to be taken with one call
+   */
   TableWatch(
       String table,
       Duration wait,
+      Duration pause,
       ControlStore store,
       TableMirror mirror,
       ScheduledExecutorService control,
@@ -47,6 +55,7 @@
       EventLog log) {
     this.table = table;
     this.wait = wait;
+    this.pause = pause;
     this.store = store;
     this.mirror = mirror;
     this.control = control;
@@ -103,7 +112,11 @@
       mirror.apply(batch.rows(), ticker.read());
       mirror.checked(sent);
     }
-    start();
+    if (batch.rows().isEmpty() || pause.isZero()) {
+      start();
+    } else {
+      control.schedule(this::start, pause.toMillis(), TimeUnit.MILLISECONDS);
+    }
   }
 
   private void noteRegained() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
@@ -95,6 +95,16 @@
     load(server).onPromptRead(tokens);
   }
 
+  /** Notes that a backend server sent something. */
+  public void onHeard(BackendServer server, long nowNanos) {
+    load(server).onHeard(nowNanos);
+  }
+
+  /** Time since a backend server last sent this entry anything; very long if it never did. */
+  public Duration quiet(BackendServer server, long nowNanos) {
+    return Duration.ofNanos(load(server).quietNanos(nowNanos));
+  }
+
   /** Notes that an attempt has ended. */
   public void onEnded(BackendServer server) {
     load(server).onEnded();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
@@ -18,6 +18,18 @@
   private long decayedNanos;
   private long avoidedUntilNanos;
   private boolean avoided;
+  private long heardNanos;
+  private boolean heard;
+
+  void onHeard(long nowNanos) {
+    heard = true;
+    heardNanos = nowNanos;
+  }
+
+  /** Time since the backend server last sent anything; very long if it never did. */
+  long quietNanos(long nowNanos) {
+    return heard ? nowNanos - heardNanos : Long.MAX_VALUE;
+  }
 
   void onSent(long promptTokens) {
     running++;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendPool.java
@@ -28,10 +28,8 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class BackendPool implements AutoCloseable {
-  /**
-   * A lost opening packet is sent again after a second, so shorter waits would give up too early.
-   */
-  private static final int CONNECT_TIMEOUT_MILLIS = 1200;
+  /** Many times a round trip; another server is tried sooner than a lost packet is sent again. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 300;
 
   /** Idle connections are closed before most backend servers would do so. */
   private static final Duration MAX_IDLE = Duration.ofSeconds(4);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -4,11 +4,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.Refusal;
 import org.guavagw.RefusalCode;
@@ -17,8 +17,6 @@
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.EngineSpec;
 import org.guavagw.gateway.model.Repeatability;
-import org.guavagw.gateway.model.Route;
-import org.guavagw.gateway.model.ServiceShare;
 import org.guavagw.gateway.model.ServiceSpec;
 import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.AttemptHead;
@@ -38,8 +36,6 @@
   /** Connections that each entry may always have to a backend server. */
   private static final int MIN_CONNECTIONS = 4;
 
-  private static final int DEFAULT_PRIORITY = 5;
-  private static final int MAX_PRIORITY = 9;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final ExchangeParts parts;
@@ -48,9 +44,7 @@
   private final Runnable onDone;
   private final ExchangeLog log;
   private final Set<String> tried = new HashSet<>();
-  private final String service;
-  private final String session;
-  private final long deadlineNanos;
+  private final RequestPlan plan;
   private final OptionalLong resumeAfter;
   private final ScheduledFuture<?> timeout;
   private Optional<String> model;
@@ -65,6 +59,8 @@
   private boolean begun;
   private boolean done;
   private long attemptSentNanos;
+  private long attemptHeardNanos;
+  private int attempts;
   private long firstEventNanos;
   private OptionalLong lastEvent;
   private int eventsPassed;
@@ -75,44 +71,17 @@
     this.sink = sink;
     this.onDone = onDone;
     this.log = new ExchangeLog(parts, request);
-    this.service = pickService(request.route());
-    this.session = sessionOf(request);
-    long allowed = request.route().timeout().toMillis();
-    OptionalLong wait = request.caller().waitMillis();
-    long millis = wait.isPresent() ? Math.min(allowed, wait.getAsLong()) : allowed;
-    this.deadlineNanos = request.arrivedNanos() + millis * NANOS_PER_MILLI;
+    this.plan = RequestPlan.of(request);
     this.resumeAfter = request.caller().resumeAfter();
     this.lastEvent = resumeAfter;
     this.model = parts.models().first(request.route(), request.caller());
     this.timeout =
         parts
             .loop()
-            .schedule(this::onTimeout, deadlineNanos - parts.ticker().read(), TimeUnit.NANOSECONDS);
-  }
-
-  private static String pickService(Route route) {
-    int total = route.shares().stream().mapToInt(ServiceShare::weight).sum();
-    int point = total > 0 ? ThreadLocalRandom.current().nextInt(total) : 0;
-    for (ServiceShare share : route.shares()) {
-      point -= share.weight();
-      if (point < 0) {
-        return share.service();
-      }
-    }
-    return route.shares().get(0).service();
-  }
-
-  private static String sessionOf(AdmittedRequest request) {
-    return request
-        .caller()
-        .session()
-        .orElseGet(
-            () -> {
-              int parts = request.caller().prompt().size();
-              return parts == 0
-                  ? request.caller().id()
-                  : request.caller().prompt().get(parts - 1).id();
-            });
+            .schedule(
+                this::onTimeout,
+                plan.deadlineNanos() - parts.ticker().read(),
+                TimeUnit.NANOSECONDS);
   }
 
   void start() {
@@ -121,17 +90,11 @@
 
   private void dispatch() {
     long now = parts.ticker().read();
-    if (!parts.gate().stillValid(request)) {
-      refuse(
-          Refusal.notRun(
-              RefusalCode.STORE_UNAVAILABLE,
-              "the key can no longer be checked",
-              RetryAfter.SHUTTING_DOWN));
-      return;
-    }
     ControlView view = parts.knowledge().get();
     Optional<BackendServer> chosen =
-        parts.chooser().choose(view, service, session, request, model.orElse(""), tried, now);
+        parts
+            .chooser()
+            .choose(view, plan.service(), plan.session(), request, model.orElse(""), tried, now);
     if (chosen.isEmpty()) {
       refuse(
           Refusal.notRun(
@@ -147,7 +110,7 @@
     server = chosen;
     tried.add(chosen.incarnation());
     Optional<ServiceSpec> spec =
-        view.config().flatMap(c -> Optional.ofNullable(c.services().get(service)));
+        view.config().flatMap(c -> Optional.ofNullable(c.services().get(plan.service())));
     parts.cold().onSent(chosen, now);
     long cacheTokens = spec.flatMap(ServiceSpec::engine).map(EngineSpec::cacheTokens).orElse(0L);
     unreadTokens =
@@ -160,10 +123,12 @@
                 request.caller().promptTokens(),
                 cacheTokens);
     if (!sentBefore) {
-      parts.repeats().apply(service).onFirst(now);
+      parts.repeats().apply(plan.service()).onFirst(now);
       sentBefore = true;
     }
     attemptSentNanos = now;
+    attemptHeardNanos = now;
+    watchForSilence(++attempts);
     collector =
         request.route().repeatability() == Repeatability.STREAM
             ? new StreamedAnswer(this)
@@ -176,15 +141,48 @@
             .send(chosen, Math.max(MIN_CONNECTIONS, connections), outgoing(chosen, now), collector);
   }
 
+  /** Looks at an attempt now and then until it has ended. */
+  private void watchForSilence(int watched) {
+    if (!request.route().repeatable()) {
+      return;
+    }
+    parts
+        .loop()
+        .schedule(
+            () -> checkSilence(watched),
+            SilencePolicy.CHECK_PERIOD.toMillis(),
+            TimeUnit.MILLISECONDS);
+  }
+
+  private void checkSilence(int watched) {
+    if (done || server == null || attempts != watched) {
+      return;
+    }
+    long now = parts.ticker().read();
+    Duration quiet = Duration.ofNanos(now - attemptHeardNanos);
+    Duration serverQuiet = parts.loads().quiet(server, now);
+    int tokens = request.caller().promptTokens();
+    if (SilencePolicy.lost(request.route(), begun, tokens, quiet, serverQuiet)) {
+      giveUp(AttemptFailure.SILENT);
+    } else {
+      watchForSilence(watched);
+    }
+  }
+
+  private void heard() {
+    attemptHeardNanos = parts.ticker().read();
+    parts.loads().onHeard(server, attemptHeardNanos);
+  }
+
   private OutgoingRequest outgoing(BackendServer chosen, long now) {
     AttemptHead head =
         new AttemptHead(
             chosen,
             request.team(),
-            Math.max(1, (deadlineNanos - now) / NANOS_PER_MILLI),
+            Math.max(1, (plan.deadlineNanos() - now) / NANOS_PER_MILLI),
             model,
             lastEvent,
-            priority());
+            plan.priority());
     return new OutgoingRequest(
         request.caller().id(),
         request.head().method(),
@@ -195,18 +193,8 @@
         !request.route().repeatable());
   }
 
-  private int priority() {
-    int priority =
-        request.team().stream()
-            .flatMapToInt(t -> t.priority().stream())
-            .findFirst()
-            .orElse(request.route().priority());
-    return request.route().models().isEmpty()
-        ? DEFAULT_PRIORITY
-        : Math.min(MAX_PRIORITY, Math.max(0, priority));
-  }
-
   void onAnswerBegins(AnswerHead answer) {
+    heard();
     if (!answer.notExecuted()) {
       executed++;
       allNotRun = false;
@@ -228,6 +216,7 @@
       event.bytes().release();
       return;
     }
+    heard();
     if (!begun) {
       Optional<String> better =
           model.flatMap(
@@ -255,7 +244,7 @@
 
   private boolean tryStrongerModel(String stronger, int confidence) {
     if (executed >= request.route().maxAttempts()
-        || !parts.repeats().apply(service).tryRepeat(parts.ticker().read())) {
+        || !parts.repeats().apply(plan.service()).tryRepeat(parts.ticker().read())) {
       return false;
     }
     String weaker = model.orElse("");
@@ -293,7 +282,7 @@
 
   void finishStream() {
     note(true, true);
-    parts.versions().onServed(session, server.version(), parts.ticker().read());
+    parts.versions().onServed(plan.session(), server.version(), parts.ticker().read());
     end("streamed", 200);
     sink.finish();
     onDone.run();
@@ -323,7 +312,7 @@
     long now = parts.ticker().read();
     log.attemptFailed(server, failure, eventsPassed, attemptSentNanos);
     switch (failure) {
-      case UNREACHABLE -> parts.loads().onUnreachable(server, now);
+      case UNREACHABLE, SILENT -> parts.loads().onUnreachable(server, now);
       case NO_CONNECTION -> {
         // says nothing about the backend server
       }
@@ -336,6 +325,9 @@
         note(false, false);
       }
     }
+    if (failure.mayHaveRun()) {
+      allNotRun = false;
+    }
     if (failure.mayHaveRun() && executed == 0) {
       executed = 1;
     }
@@ -356,14 +348,14 @@
     if (executed >= request.route().maxAttempts() || turnedAway > MAX_TURNED_AWAY) {
       return false;
     }
-    return parts.repeats().apply(service).tryRepeat(now);
+    return parts.repeats().apply(plan.service()).tryRepeat(now);
   }
 
   /** Takes leave to send the request again after an answer that it could also be given. */
   boolean tryRepeat() {
     return request.route().repeatability() == Repeatability.IDEMPOTENT
         && executed < request.route().maxAttempts()
-        && parts.repeats().apply(service).tryRepeat(parts.ticker().read());
+        && parts.repeats().apply(plan.service()).tryRepeat(parts.ticker().read());
   }
 
   private void failWithUnknownOutcome(AttemptFailure failure) {
@@ -433,13 +425,13 @@
       parts
           .rollouts()
           .onSuccess(
-              service,
+              plan.service(),
               server.version(),
               request.route().name(),
               request.route().name() + model.map(m -> "/" + m).orElse(""),
               millis);
     } else {
-      parts.rollouts().onFailure(service, server.version(), request.route().name());
+      parts.rollouts().onFailure(plan.service(), server.version(), request.route().name());
     }
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ProbeServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ProbeServer.java
@@ -51,6 +51,11 @@
             .channel();
   }
 
+  /** Address that it listens on. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) channel.localAddress();
+  }
+
   @Override
   public void close() {
     channel.close().syncUninterruptibly();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RequestGate.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RequestGate.java
@@ -71,20 +71,6 @@
     return Either.right(new Admission(route, team, view));
   }
 
-  /** Whether the key of a request still counts. */
-  boolean stillValid(AdmittedRequest request) {
-    if (request.team().isEmpty()) {
-      return true;
-    }
-    boolean fresh = maxKeyAge.filter(max -> knowledge.ordersAge().compareTo(max) > 0).isEmpty();
-    return fresh
-        && request
-            .caller()
-            .key()
-            .filter(k -> knowledge.get().config().orElseThrow().teamsByKey().containsKey(k))
-            .isPresent();
-  }
-
   private Either<Refusal, Admission> unknown(RefusalCode code, String reason) {
     if (knowledge.ordersAge().compareTo(RECENT) > 0) {
       return refused(RefusalCode.STORE_UNAVAILABLE, reason + " as far as this entry knows");
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RequestPlan.java
@@ -0,0 +1,63 @@
+package org.guavagw.gateway.internal.relay;
+
+import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
+import org.guavagw.gateway.model.Route;
+import org.guavagw.gateway.model.ServiceShare;
+
+/**
+ * What stays the same over all attempts of a request. Immutable.
+ *
+ * @param service service that takes the request
+ * @param session requests of one session are served by one version
+ * @param deadlineNanos monotonic time by which the caller must have its answer
+ * @param priority rank at the engines; 0 is the most urgent
+ */
+record RequestPlan(String service, String session, long deadlineNanos, int priority) {
+  private static final int DEFAULT_PRIORITY = 5;
+  private static final int MAX_PRIORITY = 9;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  static RequestPlan of(AdmittedRequest request) {
+    long allowed = request.route().timeout().toMillis();
+    OptionalLong wait = request.caller().waitMillis();
+    long millis = wait.isPresent() ? Math.min(allowed, wait.getAsLong()) : allowed;
+    return new RequestPlan(
+        pickService(request.route()),
+        sessionOf(request),
+        request.arrivedNanos() + millis * NANOS_PER_MILLI,
+        priorityOf(request));
+  }
+
+  private static String pickService(Route route) {
+    int total = route.shares().stream().mapToInt(ServiceShare::weight).sum();
+    int point = total > 0 ? ThreadLocalRandom.current().nextInt(total) : 0;
+    for (ServiceShare share : route.shares()) {
+      point -= share.weight();
+      if (point < 0) {
+        return share.service();
+      }
+    }
+    return route.shares().get(0).service();
+  }
+
+  /** Requests that name no session belong together if they share the last part of their prompt. */
+  private static String sessionOf(AdmittedRequest request) {
+    int parts = request.caller().prompt().size();
+    String fallback =
+        parts == 0 ? request.caller().id() : request.caller().prompt().get(parts - 1).id();
+    return request.caller().session().orElse(fallback);
+  }
+
+  private static int priorityOf(AdmittedRequest request) {
+    if (request.route().models().isEmpty()) {
+      return DEFAULT_PRIORITY;
+    }
+    int priority =
+        request.team().stream()
+            .flatMapToInt(t -> t.priority().stream())
+            .findFirst()
+            .orElse(request.route().priority());
+    return Math.min(MAX_PRIORITY, Math.max(0, priority));
+  }
+}
