Weigh the strongest model's delay in the cascade; place by time to read a prompt

Change: PromptPace learns tokens a millisecond by model; Outlook and ConfidenceCascade accept more doubt the later the strongest would answer.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/cascade/ConfidenceCascade.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/cascade/ConfidenceCascade.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.Function;
 import org.guavagw.gateway.model.Route;
 import org.guavagw.gateway.spi.CallerRequest;
 
@@ -11,9 +12,19 @@
  *
  * <p>Answers the price of strong models: reading a prompt costs the smallest model a small part of
  * what it costs the strongest, and its opinion comes with the first event, before the caller has
- * got anything. Stateless.
+ * got anything. Also answers engines that are overloaded: the later the strongest model would
+ * answer, the more doubt is accepted. Stateless.
  */
 public final class ConfidenceCascade implements ModelPolicy {
+  /** Share of the remaining time up to which the strongest model answers well in time. */
+  private static final double EASY_PRESSURE = 0.5;
+
+  /** Share of the remaining time from which its answer would be late. */
+  private static final double HOPELESS_PRESSURE = 1.2;
+
+  /** Doubtful answers are rarely good below this, in percent, so that a late one is better. */
+  private static final double LEAST_CONFIDENCE = 25;
+
   private final int acceptedConfidence;
 
   /**
@@ -37,12 +48,23 @@
 
   @Override
   public Optional<String> instead(
-      Route route, CallerRequest request, String model, OptionalInt confidence) {
+      Route route, String model, OptionalInt confidence, Function<String, Outlook> outlook) {
     List<String> models = route.models();
     String strongest = models.get(models.size() - 1);
-    if (model.equals(strongest) || confidence.orElse(0) >= acceptedConfidence) {
+    int opinion = confidence.orElse(0);
+    if (model.equals(strongest) || opinion >= acceptedConfidence) {
       return Optional.empty();
     }
-    return Optional.of(strongest);
+    double accepted = accepted(outlook.apply(strongest).pressure());
+    return opinion >= accepted ? Optional.empty() : Optional.of(strongest);
+  }
+
+  private double accepted(double pressure) {
+    if (pressure <= EASY_PRESSURE) {
+      return acceptedConfidence;
+    }
+    double least = Math.min(acceptedConfidence, LEAST_CONFIDENCE);
+    double strain = Math.min(1, (pressure - EASY_PRESSURE) / (HOPELESS_PRESSURE - EASY_PRESSURE));
+    return acceptedConfidence - strain * (acceptedConfidence - least);
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/cascade/StrongestModel.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/cascade/StrongestModel.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.Function;
 import org.guavagw.gateway.model.Route;
 import org.guavagw.gateway.spi.CallerRequest;
 
@@ -16,7 +17,7 @@
 
   @Override
   public Optional<String> instead(
-      Route route, CallerRequest request, String model, OptionalInt confidence) {
+      Route route, String model, OptionalInt confidence, Function<String, Outlook> outlook) {
     return Optional.empty();
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/WorkReport.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/WorkReport.java
@@ -17,7 +17,7 @@
    * Work at one backend server. Immutable.
    *
    * @param running requests sent and not yet answered
-   * @param waitingTokens prompt tokens that it has not yet read
+   * @param waitingMillis time to read the prompts that it has not yet read
    */
-  public record ServerWork(int running, long waitingTokens) {}
+  public record ServerWork(int running, double waitingMillis) {}
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
@@ -9,23 +9,22 @@
 /**
  * Chooses the backend server at which a prompt will be read soonest.
  *
- * <p>Answers long prompts that share parts: the wait is counted in prompt tokens, those that wait
- * at the backend server and those of this prompt that it does not hold. Where no one holds the
- * prompt, all entries prefer the same backend server for it by rendezvous hashing. Confined to the
- * traffic thread.
+ * <p>Answers long prompts that share parts: the wait is the time to read the prompts that wait at a
+ * backend server and what it does not hold of this one. Where no one holds the prompt, all entries
+ * prefer the same backend server for it by rendezvous hashing. Confined to the traffic thread.
  */
 public final class AffinityPlacer implements Placer {
-  /** Cost of a request under way, in prompt tokens: its steps delay the prompts beside it. */
-  private static final double TOKENS_PER_RUNNING = 150;
+  /** Cost of a request under way: its steps delay the prompts beside it. */
+  private static final double MILLIS_PER_RUNNING = 6;
 
   /** Cost of leaving the data centre: callers wait longer and bytes between centres are dear. */
-  private static final double TOKENS_FOR_OTHER_CENTRE = 3000;
+  private static final double MILLIS_FOR_OTHER_CENTRE = 140;
 
   /** Cost of certain failure; a share of it is charged for a share of failures. */
-  private static final double TOKENS_FOR_FAILURE = 40_000;
+  private static final double MILLIS_FOR_FAILURE = 2000;
 
   /** How strongly entries prefer the same backend server for a prompt that nobody holds. */
-  private static final double TOKENS_FOR_PREFERENCE = 1500;
+  private static final double MILLIS_FOR_PREFERENCE = 70;
 
   private final LoadBook book;
 
@@ -56,14 +55,13 @@
 
   private double cost(BackendServer server, PlacementQuery query) {
     ServerLoad load = book.load(server);
-    int held = book.heldTokens(server, query.model(), query.prompt());
-    double cost = book.totalWaitingTokens(server) + Math.max(0, query.promptTokens() - held);
-    cost += book.totalRunning(server) * TOKENS_PER_RUNNING;
-    cost += load.failureShare(query.nowNanos()) * TOKENS_FOR_FAILURE;
+    double cost = book.expectedMillis(server, query.model(), query.prompt(), query.promptTokens());
+    cost += book.totalRunning(server) * MILLIS_PER_RUNNING;
+    cost += load.failureShare(query.nowNanos()) * MILLIS_FOR_FAILURE;
     if (!server.dataCentre().equals(query.localDataCentre())) {
-      cost += TOKENS_FOR_OTHER_CENTRE;
+      cost += MILLIS_FOR_OTHER_CENTRE;
     }
-    return cost + (1 - preference(server, query)) * TOKENS_FOR_PREFERENCE;
+    return cost + (1 - preference(server, query)) * MILLIS_FOR_PREFERENCE;
   }
 
   private static double preference(BackendServer server, PlacementQuery query) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
@@ -30,10 +30,14 @@
   /** How long a backend server that mostly fails is left alone. */
   private static final Duration FAILING_PAUSE = Duration.ofSeconds(1);
 
+  /** A backend server with less than this to read counts as free. */
+  private static final double ALONE_MILLIS = 5;
+
   private static final double FAILING_SHARE = 0.4;
   private static final double MIN_FAILURES = 2.5;
 
   private final Map<String, ServerLoad> loads = new HashMap<>();
+  private final PromptPace pace = new PromptPace();
   private final NeighbourWork neighbours = new NeighbourWork();
   private final Map<String, PrefixMemory> memories = new HashMap<>();
 
@@ -51,9 +55,21 @@
     return load(server).running() + neighbours.at(server.incarnation()).running();
   }
 
-  /** Prompt tokens that a backend server has not yet read. */
-  long totalWaitingTokens(BackendServer server) {
-    return load(server).waitingTokens() + neighbours.at(server.incarnation()).waitingTokens();
+  /** Time that a backend server needs to read the prompts that wait there. */
+  double totalWaitingMillis(BackendServer server) {
+    return load(server).waitingMillis() + neighbours.at(server.incarnation()).waitingMillis();
+  }
+
+  /** Time that a model needs to read what a backend server does not hold of a prompt. */
+  double readingMillis(BackendServer server, String model, List<PromptPart> prompt, int tokens) {
+    int held = heldTokens(server, model, prompt);
+    return pace.millis(model, Math.max(0, tokens - held));
+  }
+
+  /** Time until the first event of a request that would be sent now. */
+  public double expectedMillis(
+      BackendServer server, String model, List<PromptPart> prompt, int tokens) {
+    return totalWaitingMillis(server) + readingMillis(server, model, prompt, tokens);
   }
 
   /** Takes what another entry has under way. */
@@ -67,7 +83,7 @@
     loads.forEach(
         (incarnation, load) -> {
           if (load.running() > 0) {
-            servers.put(incarnation, new ServerWork(load.running(), load.waitingTokens()));
+            servers.put(incarnation, new ServerWork(load.running(), load.waitingMillis()));
           }
         });
     return new WorkReport(servers);
@@ -78,21 +94,31 @@
     return load(server).running();
   }
 
-  /** Notes that an attempt was sent, and returns the tokens that have to be read for it. */
-  public int onSent(
+  /** Notes that an attempt was sent, and returns what has to be read for it. */
+  public PromptWork onSent(
       BackendServer server, String model, List<PromptPart> prompt, int tokens, long cacheTokens) {
     int toRead = Math.max(0, tokens - heldTokens(server, model, prompt));
-    load(server).onSent(toRead);
+    PromptWork work =
+        new PromptWork(
+            model, toRead, pace.millis(model, toRead), totalWaitingMillis(server) < ALONE_MILLIS);
+    load(server).onSent(work.millis());
     long size = cacheTokens > 0 ? cacheTokens : DEFAULT_CACHE_TOKENS;
     memories
         .computeIfAbsent(server.incarnation(), i -> new PrefixMemory((long) (size * CACHE_SHARE)))
         .remember(model, prompt);
-    return toRead;
+    return work;
+  }
+
+  /** Notes that the prompt of an attempt has been read, or need not be read any more. */
+  public void onPromptDone(BackendServer server, PromptWork work) {
+    load(server).onPromptRead(work.millis());
   }
 
-  /** Notes that the prompt of an attempt has been read. */
-  public void onPromptRead(BackendServer server, int tokens) {
-    load(server).onPromptRead(tokens);
+  /** Notes the first event of an attempt. */
+  public void onFirstEvent(PromptWork work, double millis) {
+    if (work.alone()) {
+      pace.onAloneFirstEvent(work.model(), work.tokens(), millis);
+    }
   }
 
   /** Notes that a backend server sent something. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/NeighbourWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/NeighbourWork.java
@@ -42,7 +42,7 @@
   }
 
   private static ServerWork plus(ServerWork a, ServerWork b) {
-    return new ServerWork(a.running() + b.running(), a.waitingTokens() + b.waitingTokens());
+    return new ServerWork(a.running() + b.running(), a.waitingMillis() + b.waitingMillis());
   }
 
   /** A report and when it came. Immutable. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
@@ -12,7 +12,7 @@
   private static final double PRIOR_TRIALS = 3;
 
   private int running;
-  private long waitingTokens;
+  private double waitingMillis;
   private double trials;
   private double failures;
   private long decayedNanos;
@@ -31,13 +31,13 @@
     return heard ? nowNanos - heardNanos : Long.MAX_VALUE;
   }
 
-  void onSent(long promptTokens) {
+  void onSent(double promptMillis) {
     running++;
-    waitingTokens += promptTokens;
+    waitingMillis += promptMillis;
   }
 
-  void onPromptRead(long promptTokens) {
-    waitingTokens -= promptTokens;
+  void onPromptRead(double promptMillis) {
+    waitingMillis = Math.max(0, waitingMillis - promptMillis);
   }
 
   void onEnded() {
@@ -78,8 +78,8 @@
     return running;
   }
 
-  long waitingTokens() {
-    return waitingTokens;
+  double waitingMillis() {
+    return waitingMillis;
   }
 
   private void decay(long nowNanos) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -13,13 +13,17 @@
 import org.guavagw.Refusal;
 import org.guavagw.RefusalCode;
 import org.guavagw.RunState;
+import org.guavagw.gateway.internal.cascade.Outlook;
 import org.guavagw.gateway.internal.control.ControlView;
+import org.guavagw.gateway.internal.placement.LoadBook;
+import org.guavagw.gateway.internal.placement.PromptWork;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.EngineSpec;
 import org.guavagw.gateway.model.Repeatability;
 import org.guavagw.gateway.model.ServiceSpec;
 import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.AttemptHead;
+import org.guavagw.gateway.spi.CallerRequest;
 
 /**
  * One request from admission to its final answer: attempts, repeats, continuation of broken
@@ -51,7 +55,7 @@
   private BackendServer server;
   private Attempt attempt;
   private AnswerCollector collector;
-  private int unreadTokens;
+  private PromptWork unread;
   private int executed;
   private int turnedAway;
   private boolean sentBefore;
@@ -91,10 +95,7 @@
   private void dispatch() {
     long now = parts.ticker().read();
     ControlView view = parts.knowledge().get();
-    Optional<BackendServer> chosen =
-        parts
-            .chooser()
-            .choose(view, plan.service(), plan.session(), request, model.orElse(""), tried, now);
+    Optional<BackendServer> chosen = choose(view, model.orElse(""), tried, now);
     if (chosen.isEmpty()) {
       refuse(
           Refusal.notRun(
@@ -106,6 +107,13 @@
     send(view, chosen.get(), now);
   }
 
+  private Optional<BackendServer> choose(
+      ControlView view, String name, Set<String> excluded, long now) {
+    return parts
+        .chooser()
+        .choose(view, plan.service(), plan.session(), request, name, excluded, now);
+  }
+
   private void send(ControlView view, BackendServer chosen, long now) {
     server = chosen;
     tried.add(chosen.incarnation());
@@ -113,7 +121,7 @@
         view.config().flatMap(c -> Optional.ofNullable(c.services().get(plan.service())));
     parts.cold().onSent(chosen, now);
     long cacheTokens = spec.flatMap(ServiceSpec::engine).map(EngineSpec::cacheTokens).orElse(0L);
-    unreadTokens =
+    unread =
         parts
             .loads()
             .onSent(
@@ -217,13 +225,9 @@
       return;
     }
     heard();
+    noteFirstEvent();
     if (!begun) {
-      Optional<String> better =
-          model.flatMap(
-              m ->
-                  parts
-                      .models()
-                      .instead(request.route(), request.caller(), m, answer.confidence()));
+      Optional<String> better = model.flatMap(m -> stronger(m, answer));
       if (better.isPresent() && tryStrongerModel(better.get(), answer.confidence().orElse(-1))) {
         event.bytes().release();
         return;
@@ -232,7 +236,7 @@
       firstEventNanos = parts.ticker().read();
       sink.begin(head.status().code(), HopHeaders.endToEnd(head.headers()));
     }
-    promptRead();
+    promptDone();
     if (event.id().isPresent()) {
       lastEvent = event.id();
     }
@@ -242,6 +246,30 @@
     }
   }
 
+  private void noteFirstEvent() {
+    if (unread != null && lastEvent.isEmpty()) {
+      double millis = (attemptHeardNanos - attemptSentNanos) / (double) NANOS_PER_MILLI;
+      parts.loads().onFirstEvent(unread, millis);
+    }
+  }
+
+  private Optional<String> stronger(String weaker, AnswerHead answer) {
+    return parts.models().instead(request.route(), weaker, answer.confidence(), this::outlook);
+  }
+
+  /** What to expect if a model were asked now. */
+  private Outlook outlook(String other) {
+    long now = parts.ticker().read();
+    CallerRequest caller = request.caller();
+    LoadBook loads = parts.loads();
+    double expected =
+        choose(parts.knowledge().get(), other, Set.of(), now)
+            .map(s -> loads.expectedMillis(s, other, caller.prompt(), caller.promptTokens()))
+            .orElse(Double.MAX_VALUE);
+    double elapsed = (now - request.arrivedNanos()) / (double) NANOS_PER_MILLI;
+    return new Outlook(expected, request.route().objective().toMillis() - elapsed);
+  }
+
   private boolean tryStrongerModel(String stronger, int confidence) {
     if (executed >= request.route().maxAttempts()
         || !parts.repeats().apply(plan.service()).tryRepeat(parts.ticker().read())) {
@@ -258,10 +286,10 @@
     return true;
   }
 
-  private void promptRead() {
-    if (unreadTokens > 0) {
-      parts.loads().onPromptRead(server, unreadTokens);
-      unreadTokens = 0;
+  private void promptDone() {
+    if (unread != null) {
+      parts.loads().onPromptDone(server, unread);
+      unread = null;
     }
   }
 
@@ -437,7 +465,7 @@
 
   private void endAttempt() {
     if (server != null) {
-      promptRead();
+      promptDone();
       parts.loads().onEnded(server);
       server = null;
     }
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/ManualClock.java
@@ -0,0 +1,35 @@
+package org.guavagw.gateway.internal;
+
+import com.google.common.base.Ticker;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.guavagw.internal.time.Clocks;
+
+/** Clocks that tests move. Thread-safe. */
+public final class ManualClock extends Ticker {
+  private final AtomicLong nanos = new AtomicLong(1_000_000_000L);
+  private final AtomicReference<Instant> wall = new AtomicReference<>(Instant.EPOCH);
+
+  @Override
+  public long read() {
+    return nanos.get();
+  }
+
+  /** Both clocks move. */
+  public void advance(Duration time) {
+    nanos.addAndGet(time.toNanos());
+    stepWall(time);
+  }
+
+  /** Only the wall clock moves, as in a suspend or when somebody sets it. */
+  public void stepWall(Duration time) {
+    wall.updateAndGet(w -> w.plus(time));
+  }
+
+  /** Both clocks. */
+  public Clocks clocks() {
+    return new Clocks(wall::get, this);
+  }
+}
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/cascade/ConfidenceCascadeTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/cascade/ConfidenceCascadeTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.Test;
 
 class ConfidenceCascadeTest {
+  private static final Outlook IDLE = new Outlook(100, 1000);
+  private static final Outlook LATE = new Outlook(3000, 1000);
   private final Route route =
       Samples.route(Repeatability.STREAM, List.of("small", "middle", "large"), 3);
   private final ConfidenceCascade cascade = new ConfidenceCascade(60);
@@ -21,16 +23,14 @@
 
   @Test
   void shouldAskTheStrongestWhereTheSmallestDoubtsItself() {
-    assertThat(cascade.instead(route, Samples.request("r"), "small", OptionalInt.of(59)))
-        .contains("large");
-    assertThat(cascade.instead(route, Samples.request("r"), "small", OptionalInt.empty()))
-        .contains("large");
+    assertThat(cascade.instead(route, "small", OptionalInt.of(59), m -> IDLE)).contains("large");
+    assertThat(cascade.instead(route, "small", OptionalInt.empty(), m -> IDLE)).contains("large");
   }
 
   @Test
   void shouldPassOnWhatIsGoodEnough() {
-    assertThat(cascade.instead(route, Samples.request("r"), "small", OptionalInt.of(60))).isEmpty();
-    assertThat(cascade.instead(route, Samples.request("r"), "large", OptionalInt.of(1))).isEmpty();
+    assertThat(cascade.instead(route, "small", OptionalInt.of(60), m -> IDLE)).isEmpty();
+    assertThat(cascade.instead(route, "large", OptionalInt.of(1), m -> IDLE)).isEmpty();
   }
 
   @Test
@@ -44,4 +44,15 @@
     Route plain = Samples.route(Repeatability.IDEMPOTENT, List.of(), 2);
     assertThat(cascade.first(plain, Samples.request("r"))).isEmpty();
   }
+
+  @Test
+  void shouldAcceptMoreDoubtWhereTheStrongestModelWouldBeLate() {
+    assertThat(cascade.instead(route, "small", OptionalInt.of(40), m -> LATE)).isEmpty();
+    assertThat(cascade.instead(route, "small", OptionalInt.of(40), m -> IDLE)).contains("large");
+  }
+
+  @Test
+  void shouldNotPassOnWhatIsProbablyWrong() {
+    assertThat(cascade.instead(route, "small", OptionalInt.of(5), m -> LATE)).contains("large");
+  }
 }
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionGateTest.java
@@ -0,0 +1,136 @@
+package org.guavagw.gateway.internal.rollout;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.control.ControlView;
+import org.guavagw.gateway.internal.control.Orders;
+import org.guavagw.gateway.internal.control.Orders.ObservedRollout;
+import org.guavagw.gateway.internal.routing.RouteTable;
+import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.model.RolloutOrder;
+import org.guavagw.gateway.model.RolloutState;
+import org.guavagw.gateway.model.RolloutStatus;
+import org.junit.jupiter.api.Test;
+
+class VersionGateTest {
+  private static final Duration WITHIN = Duration.ofSeconds(20);
+  private static final int SESSIONS = 2000;
+  private final BackendServer old = Samples.server("a", "dc", "v1");
+  private final BackendServer fresh = Samples.server("b", "dc", "v2");
+  private final List<BackendServer> both = List.of(old, fresh);
+  private final RolloutOrder order = new RolloutOrder("engine", "v2", WITHIN, 10);
+  private Duration elapsed = Duration.ZERO;
+  private boolean rejected;
+  private final VersionGate gate =
+      new VersionGate(
+          Duration.ofSeconds(5),
+          new RolloutClock() {
+            @Override
+            public Duration elapsed(ObservedRollout rollout, Optional<RolloutStatus> status) {
+              return elapsed;
+            }
+
+            @Override
+            public boolean isRejected(RolloutOrder o) {
+              return rejected;
+            }
+          });
+
+  @Test
+  void shouldUseEveryVersionWithoutARollout() {
+    ControlView view = view(Map.of(), Map.of());
+    assertThat(gate.narrow(view, "engine", "s", both, 0)).isEqualTo(both);
+  }
+
+  @Test
+  void shouldTryTheNewVersionWithFewSessionsInTheFirstHalf() {
+    elapsed = WITHIN.dividedBy(3);
+    assertThat(shareOnNew()).isBetween(0.04, 0.12);
+  }
+
+  @Test
+  void shouldMoveEverySessionBeforeTheEnd() {
+    elapsed = WITHIN.multipliedBy(8).dividedBy(10);
+    assertThat(shareOnNew()).isEqualTo(1);
+  }
+
+  @Test
+  void shouldKeepASessionOnItsVersionInTheFirstHalf() {
+    elapsed = WITHIN.dividedBy(3);
+    for (int i = 0; i < SESSIONS; i++) {
+      gate.onServed("s" + i, "v1", 0);
+    }
+    assertThat(shareOnNew()).isEqualTo(0);
+  }
+
+  @Test
+  void shouldNeverMoveASessionBackWhileTheNewVersionIsGood() {
+    gate.onServed("s", "v2", 0);
+    assertThat(gate.narrow(running(), "engine", "s", both, 1)).containsExactly(fresh);
+  }
+
+  @Test
+  void shouldAvoidAVersionThatWasRolledBack() {
+    ControlView view = withStatus(RolloutState.ROLLED_BACK);
+    assertThat(gate.narrow(view, "engine", "s", both, 0)).containsExactly(old);
+    assertThat(gate.narrow(view, "engine", "s", List.of(fresh), 0)).isEmpty();
+  }
+
+  @Test
+  void shouldAvoidAVersionThatThisEntryFoundBadBeforeItIsReported() {
+    rejected = true;
+    elapsed = WITHIN;
+    assertThat(gate.narrow(running(), "engine", "s", both, 0)).containsExactly(old);
+  }
+
+  @Test
+  void shouldUseOnlyTheNewVersionOnceTheRolloutIsDone() {
+    ControlView view = withStatus(RolloutState.DONE);
+    assertThat(gate.narrow(view, "engine", "s", both, 0)).containsExactly(fresh);
+  }
+
+  @Test
+  void shouldIgnoreWhatWasReportedOfAnEarlierOrder() {
+    RolloutStatus earlier = new RolloutStatus("engine", "v2", RolloutState.ROLLED_BACK, 0, 5);
+    elapsed = WITHIN;
+    ControlView view =
+        view(Map.of("engine", new ObservedRollout(order, 0)), Map.of("engine", earlier));
+    assertThat(gate.narrow(view, "engine", "s", both, 0)).containsExactly(fresh);
+  }
+
+  private double shareOnNew() {
+    ControlView view = running();
+    long onNew =
+        IntStream.range(0, SESSIONS)
+            .filter(i -> gate.narrow(view, "engine", "s" + i, both, 1).contains(fresh))
+            .count();
+    return (double) onNew / SESSIONS;
+  }
+
+  private ControlView running() {
+    return withStatus(RolloutState.RUNNING);
+  }
+
+  private ControlView withStatus(RolloutState state) {
+    return view(
+        Map.of("engine", new ObservedRollout(order, 0)),
+        Map.of("engine", new RolloutStatus("engine", "v2", state, 0, 11)));
+  }
+
+  private static ControlView view(
+      Map<String, ObservedRollout> rollouts, Map<String, RolloutStatus> statuses) {
+    return new ControlView(
+        Optional.empty(),
+        new RouteTable(List.of()),
+        Map.of(),
+        new Orders(rollouts, statuses, Set.of()),
+        true);
+  }
+}
