Ask a quiet server for a connection before an attempt is given up

Change: PathChecker opens a connection to a quiet server; an attempt is given up only if that fails or others overtook it, and only if another attempt may follow. Every attempt that may have run counts against the route's attempts.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
@@ -126,6 +126,16 @@
     load(server).onHeard(nowNanos);
   }
 
+  /** Notes that the answer to an attempt has begun. */
+  public void onBegun(BackendServer server, long sentNanos) {
+    load(server).onBegun(sentNanos);
+  }
+
+  /** Whether a backend server answers attempts that were sent well after a time. */
+  public boolean overtook(BackendServer server, long sentNanos) {
+    return load(server).overtook(sentNanos);
+  }
+
   /** Time since a backend server last sent this entry anything; very long if it never did. */
   public Duration quiet(BackendServer server, long nowNanos) {
     return Duration.ofNanos(load(server).quietNanos(nowNanos));
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
@@ -11,6 +11,9 @@
   /** Trials that an untested backend server is taken to have passed. */
   private static final double PRIOR_TRIALS = 3;
 
+  /** Attempts that are sent this much later are not in the same batch. */
+  private static final long OVERTAKING_NANOS = 200_000_000;
+
   private int running;
   private double waitingMillis;
   private double trials;
@@ -20,6 +23,21 @@
   private boolean avoided;
   private long heardNanos;
   private boolean heard;
+  private long latestBegunNanos;
+  private boolean begun;
+
+  /** Notes that the answer to an attempt that was sent at some time has begun. */
+  void onBegun(long sentNanos) {
+    if (!begun || sentNanos - latestBegunNanos > 0) {
+      begun = true;
+      latestBegunNanos = sentNanos;
+    }
+  }
+
+  /** Whether answers to attempts that were sent well after this time have begun. */
+  boolean overtook(long sentNanos) {
+    return begun && latestBegunNanos - sentNanos > OVERTAKING_NANOS;
+  }
 
   void onHeard(long nowNanos) {
     heard = true;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -187,6 +187,11 @@
     owner.onComplete();
   }
 
+  /** Puts a connection that carried nothing yet among the idle ones. */
+  void keep() {
+    peer.putIdle(this, idleLimit);
+  }
+
   private void fail(AttemptFailure failure) {
     AttemptListener owner = listener;
     listener = null;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendPool.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.RelayFormat;
 
@@ -67,24 +68,28 @@
     return connect(server, peer, request, listener);
   }
 
+  /** Opens a connection, tells whether that went well within the time to connect, and keeps it. */
+  void checkPath(BackendServer server, Consumer<Boolean> result) {
+    Peer peer = peers.computeIfAbsent(server.incarnation(), i -> new Peer());
+    BackendConnection connection = new BackendConnection(format, peer);
+    peer.open++;
+    open(server, connection)
+        .addListener(
+            f -> {
+              if (f.isSuccess()) {
+                connection.keep();
+              } else {
+                peer.open--;
+              }
+              result.accept(f.isSuccess());
+            });
+  }
+
   private Attempt connect(
       BackendServer server, Peer peer, OutgoingRequest request, AttemptListener listener) {
     BackendConnection connection = new BackendConnection(format, peer);
     peer.open++;
-    ChannelFuture connecting =
-        bootstrap
-            .clone()
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    channel
-                        .pipeline()
-                        .addLast(new HttpClientCodec(DECODING, false, false))
-                        .addLast(connection);
-                  }
-                })
-            .connect(server.address());
+    ChannelFuture connecting = open(server, connection);
     request.body().retain();
     PendingAttempt pending = new PendingAttempt(connecting);
     connecting.addListener(
@@ -105,6 +110,22 @@
     return pending;
   }
 
+  private ChannelFuture open(BackendServer server, BackendConnection connection) {
+    return bootstrap
+        .clone()
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec(DECODING, false, false))
+                    .addLast(connection);
+              }
+            })
+        .connect(server.address());
+  }
+
   /** Closes what is idle at incarnations that are gone. */
   void retain(Set<String> incarnations) {
     List<String> gone = new ArrayList<>();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -13,7 +13,6 @@
 import org.guavagw.Refusal;
 import org.guavagw.RefusalCode;
 import org.guavagw.RunState;
-import org.guavagw.gateway.internal.cascade.Outlook;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.placement.LoadBook;
 import org.guavagw.gateway.internal.placement.PromptWork;
@@ -23,7 +22,6 @@
 import org.guavagw.gateway.model.ServiceSpec;
 import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.AttemptHead;
-import org.guavagw.gateway.spi.CallerRequest;
 
 /**
  * One request from admission to its final answer: attempts, repeats, continuation of broken
@@ -47,6 +45,8 @@
   private final AnswerSink sink;
   private final Runnable onDone;
   private final ExchangeLog log;
+  private final OutcomeNotes notes;
+  private final TargetFinder targets;
   private final Set<String> tried = new HashSet<>();
   private final RequestPlan plan;
   private final OptionalLong resumeAfter;
@@ -65,6 +65,8 @@
   private long attemptSentNanos;
   private long attemptHeardNanos;
   private int attempts;
+  private boolean attemptBegun;
+  private boolean attemptCounted;
   private long firstEventNanos;
   private OptionalLong lastEvent;
   private int eventsPassed;
@@ -76,6 +78,8 @@
     this.onDone = onDone;
     this.log = new ExchangeLog(parts, request);
     this.plan = RequestPlan.of(request);
+    this.targets = new TargetFinder(parts, request, plan);
+    this.notes = new OutcomeNotes(parts, request.route(), plan);
     this.resumeAfter = request.caller().resumeAfter();
     this.lastEvent = resumeAfter;
     this.model = parts.models().first(request.route(), request.caller());
@@ -95,7 +99,7 @@
   private void dispatch() {
     long now = parts.ticker().read();
     ControlView view = parts.knowledge().get();
-    Optional<BackendServer> chosen = choose(view, model.orElse(""), tried, now);
+    Optional<BackendServer> chosen = targets.choose(model, tried, now);
     if (chosen.isEmpty()) {
       refuse(
           Refusal.notRun(
@@ -107,13 +111,6 @@
     send(view, chosen.get(), now);
   }
 
-  private Optional<BackendServer> choose(
-      ControlView view, String name, Set<String> excluded, long now) {
-    return parts
-        .chooser()
-        .choose(view, plan.service(), plan.session(), request, name, excluded, now);
-  }
-
   private void send(ControlView view, BackendServer chosen, long now) {
     server = chosen;
     tried.add(chosen.incarnation());
@@ -136,6 +133,8 @@
     }
     attemptSentNanos = now;
     attemptHeardNanos = now;
+    attemptBegun = false;
+    attemptCounted = false;
     watchForSilence(++attempts);
     collector =
         request.route().repeatability() == Repeatability.STREAM
@@ -167,16 +166,32 @@
       return;
     }
     long now = parts.ticker().read();
-    Duration quiet = Duration.ofNanos(now - attemptHeardNanos);
-    Duration serverQuiet = parts.loads().quiet(server, now);
-    int tokens = request.caller().promptTokens();
-    if (SilencePolicy.lost(request.route(), begun, tokens, quiet, serverQuiet)) {
+    LoadBook loads = parts.loads();
+    SilencePolicy.Signs signs =
+        new SilencePolicy.Signs(
+            attemptBegun,
+            Duration.ofNanos(now - attemptHeardNanos),
+            loads.quiet(server, now),
+            loads.overtook(server, attemptSentNanos));
+    boolean lost =
+        switch (SilencePolicy.judge(request.route(), request.caller().promptTokens(), signs)) {
+          case WAIT -> false;
+          case CHECK_PATH -> parts.paths().lost(server, now);
+          case STUCK -> true;
+        };
+    if (lost && mayContinueElsewhere(now)) {
       giveUp(AttemptFailure.SILENT);
     } else {
       watchForSilence(watched);
     }
   }
 
+  /** Whether another attempt could follow; if not, the one under way is the caller's best hope. */
+  private boolean mayContinueElsewhere(long now) {
+    int counted = executed + (attemptCounted ? 0 : 1);
+    return counted < request.route().maxAttempts() && targets.choose(model, tried, now).isPresent();
+  }
+
   private void heard() {
     attemptHeardNanos = parts.ticker().read();
     parts.loads().onHeard(server, attemptHeardNanos);
@@ -204,15 +219,28 @@
   void onAnswerBegins(AnswerHead answer) {
     heard();
     if (!answer.notExecuted()) {
-      executed++;
+      attemptBegun = true;
+      parts.loads().onBegun(server, attemptSentNanos);
+      countExecuted();
       allNotRun = false;
     }
   }
 
+  private void countExecuted() {
+    if (!attemptCounted) {
+      attemptCounted = true;
+      executed++;
+    }
+  }
+
   /** Passes a whole answer on and takes its body. */
   void answerWhole(AnswerHead answer, HttpHeaders headers, ByteBuf body) {
     boolean good = answer.status() < 500;
-    note(good, good);
+    if (good) {
+      noteGood();
+    } else {
+      notes.bad(server);
+    }
     end(good ? "answered" : "server_error", answer.status());
     sink.answer(answer.status(), headers, body);
     onDone.run();
@@ -254,20 +282,7 @@
   }
 
   private Optional<String> stronger(String weaker, AnswerHead answer) {
-    return parts.models().instead(request.route(), weaker, answer.confidence(), this::outlook);
-  }
-
-  /** What to expect if a model were asked now. */
-  private Outlook outlook(String other) {
-    long now = parts.ticker().read();
-    CallerRequest caller = request.caller();
-    LoadBook loads = parts.loads();
-    double expected =
-        choose(parts.knowledge().get(), other, Set.of(), now)
-            .map(s -> loads.expectedMillis(s, other, caller.prompt(), caller.promptTokens()))
-            .orElse(Double.MAX_VALUE);
-    double elapsed = (now - request.arrivedNanos()) / (double) NANOS_PER_MILLI;
-    return new Outlook(expected, request.route().objective().toMillis() - elapsed);
+    return parts.models().instead(request.route(), weaker, answer.confidence(), targets::outlook);
   }
 
   private boolean tryStrongerModel(String stronger, int confidence) {
@@ -309,8 +324,7 @@
   }
 
   void finishStream() {
-    note(true, true);
-    parts.versions().onServed(plan.session(), server.version(), parts.ticker().read());
+    noteGood();
     end("streamed", 200);
     sink.finish();
     onDone.run();
@@ -327,7 +341,7 @@
 
   /** An answer that was a server error will be asked for again; leave was taken already. */
   void onServerError() {
-    note(false, false);
+    notes.bad(server);
     log.attemptFailed(server, AttemptFailure.SERVER_ERROR, eventsPassed, attemptSentNanos);
     endAttempt();
     dispatch();
@@ -350,18 +364,18 @@
       }
       default -> {
         allNotRun = false;
-        note(false, false);
+        notes.bad(server);
       }
     }
     if (failure.mayHaveRun()) {
       allNotRun = false;
-    }
-    if (failure.mayHaveRun() && executed == 0) {
-      executed = 1;
+      countExecuted();
     }
     endAttempt();
     if (failure.mayHaveRun() && !request.route().repeatable()) {
-      failWithUnknownOutcome(failure);
+      refuse(
+          Refusal.after(
+              RefusalCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, "the answer was lost: " + failure));
     } else if (mayTryAgain(failure, now)) {
       dispatch();
     } else {
@@ -386,12 +400,6 @@
         && parts.repeats().apply(plan.service()).tryRepeat(parts.ticker().read());
   }
 
-  private void failWithUnknownOutcome(AttemptFailure failure) {
-    refuse(
-        Refusal.after(
-            RefusalCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, "the answer was lost: " + failure));
-  }
-
   private void failFinally(AttemptFailure failure) {
     if (allNotRun) {
       refuse(
@@ -444,23 +452,10 @@
     onDone.run();
   }
 
-  private void note(boolean good, boolean success) {
+  private void noteGood() {
     long now = parts.ticker().read();
-    parts.loads().onOutcome(server, good, now);
-    if (success) {
-      long until = firstEventNanos > 0 ? firstEventNanos : now;
-      double millis = (until - attemptSentNanos) / (double) NANOS_PER_MILLI;
-      parts
-          .rollouts()
-          .onSuccess(
-              plan.service(),
-              server.version(),
-              request.route().name(),
-              request.route().name() + model.map(m -> "/" + m).orElse(""),
-              millis);
-    } else {
-      parts.rollouts().onFailure(plan.service(), server.version(), request.route().name());
-    }
+    long until = firstEventNanos > 0 ? firstEventNanos : now;
+    notes.good(server, model, (until - attemptSentNanos) / (double) NANOS_PER_MILLI);
   }
 
   private void endAttempt() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeParts.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeParts.java
@@ -33,6 +33,7 @@
     ModelPolicy models,
     RelayFormat format,
     BackendPool pool,
+    PathChecker paths,
     EventLoop loop,
     Ticker ticker,
     EventLog log,
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeNotes.java
@@ -0,0 +1,39 @@
+package org.guavagw.gateway.internal.relay;
+
+import java.util.Optional;
+import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.model.Route;
+
+/**
+ * Tells placement, sessions and rollouts how the attempts of one request went. Traffic thread only.
+ */
+final class OutcomeNotes {
+  private final ExchangeParts parts;
+  private final Route route;
+  private final RequestPlan plan;
+
+  OutcomeNotes(ExchangeParts parts, Route route, RequestPlan plan) {
+    this.parts = parts;
+    this.route = route;
+    this.plan = plan;
+  }
+
+  /**
+   * An answer went well.
+   *
+   * @param millis time to the answer, or to its first event
+   */
+  void good(BackendServer server, Optional<String> model, double millis) {
+    long now = parts.ticker().read();
+    String work = route.name() + model.map(m -> "/" + m).orElse("");
+    parts.loads().onOutcome(server, true, now);
+    parts.versions().onServed(plan.session(), server.version(), now);
+    parts.rollouts().onSuccess(plan.service(), server.version(), route.name(), work, millis);
+  }
+
+  /** An attempt failed at a backend server that had it. */
+  void bad(BackendServer server) {
+    parts.loads().onOutcome(server, false, parts.ticker().read());
+    parts.rollouts().onFailure(plan.service(), server.version(), route.name());
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -55,6 +55,7 @@
   private final Ticker ticker;
   private final LoadBook loads = new LoadBook();
   private final BackendPool pool;
+  private final PathChecker paths;
   private final FrontServer front;
   private final EventLoop loop;
   private final InFlight inFlight = new InFlight();
@@ -87,6 +88,7 @@
     ServerChooser chooser =
         new ServerChooser(versions, cold, new AffinityPlacer(loads), settings.dataCentre());
     Map<String, RepeatAllowance> allowances = new HashMap<>();
+    this.paths = new PathChecker(pool::checkPath);
     ExchangeParts exchanges =
         new ExchangeParts(
             knowledge,
@@ -100,6 +102,7 @@
             models,
             format,
             pool,
+            paths,
             loop,
             ticker,
             log,
@@ -150,6 +153,7 @@
             .flatMap(list -> list.stream().map(BackendServer::incarnation))
             .collect(Collectors.toSet());
     pool.retain(incarnations);
+    paths.retain(incarnations);
     loads.retain(incarnations, ticker.read());
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/SilencePolicy.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/SilencePolicy.java
@@ -4,49 +4,70 @@
 import org.guavagw.gateway.model.Route;
 
 /**
- * Decides when an attempt that says nothing is given up for another backend server.
+ * Decides what to do about an attempt that says nothing.
  *
- * <p>Answers links that are cut without a reset and backend servers that fall silent: the caller's
- * time for a pause is shorter than what a connection needs to notice. Slow work is not silence: as
- * long as a backend server answers anything else, it is left to finish. Stateless.
+ * <p>Answers links that are cut without a reset and backend servers that never answer some
+ * requests. A pause alone proves nothing, as long prompts hold up everything beside them: a quiet
+ * server is first asked for a connection, and only a request that others overtook counts as stuck.
+ * Stateless.
  */
 final class SilencePolicy {
   /** How often attempts are looked at: a small part of the shortest limit below. */
   static final Duration CHECK_PERIOD = Duration.ofMillis(100);
 
-  /** Leaves most of a tolerable pause of a second for another backend server to go on. */
-  private static final Duration STREAM_LIMIT = Duration.ofMillis(500);
+  /** Leaves most of a tolerable pause of a second for the check and for another server to go on. */
+  private static final Duration CHECK_PATH_AFTER = Duration.ofMillis(400);
 
   /** Shortest wait for an answer: well above the slowest work of plain services. */
-  private static final Duration MIN_ANSWER_LIMIT = Duration.ofMillis(250);
+  private static final Duration MIN_ANSWER_LIMIT = Duration.ofMillis(350);
 
-  /** Share of the objective that may pass without any sign. */
-  private static final double OBJECTIVE_SHARE = 0.5;
+  /** Share of the objective after which a request that others overtook counts as stuck. */
+  private static final double OVERTAKEN_SHARE = 0.6;
+
+  /** Share of the objective after which any request without an answer counts as stuck. */
+  private static final double STUCK_SHARE = 1.5;
 
   /** Prompt tokens that the slowest model reads in a millisecond, with room for others' prompts. */
   private static final int TOKENS_PER_MILLI = 10;
 
   private SilencePolicy() {}
 
-  /**
-   * Whether an attempt is taken as lost.
-   *
-   * @param begun whether events have come already
-   * @param quiet time since the last sign of this attempt, its sending included
-   * @param serverQuiet time since the backend server last sent this entry anything
-   */
-  static boolean lost(
-      Route route, boolean begun, int promptTokens, Duration quiet, Duration serverQuiet) {
+  /** What to do about an attempt. */
+  enum Verdict {
+    /** Nothing speaks against it. */
+    WAIT,
+    /** Find out whether its backend server can still be reached. */
+    CHECK_PATH,
+    /** It is stuck. */
+    STUCK
+  }
+
+  static Verdict judge(Route route, int promptTokens, Signs signs) {
     if (!route.repeatable()) {
-      return false;
+      return Verdict.WAIT;
     }
-    Duration unheard = quiet.compareTo(serverQuiet) < 0 ? quiet : serverQuiet;
-    return unheard.compareTo(begun ? STREAM_LIMIT : answerLimit(route, promptTokens)) > 0;
+    if (!signs.begun() && signs.quiet().compareTo(answerLimit(route, promptTokens, signs)) > 0) {
+      return Verdict.STUCK;
+    }
+    Duration unheard =
+        signs.quiet().compareTo(signs.serverQuiet()) < 0 ? signs.quiet() : signs.serverQuiet();
+    return unheard.compareTo(CHECK_PATH_AFTER) > 0 ? Verdict.CHECK_PATH : Verdict.WAIT;
   }
 
-  private static Duration answerLimit(Route route, int promptTokens) {
-    long share = (long) (route.objective().toMillis() * OBJECTIVE_SHARE);
-    long millis = Math.max(MIN_ANSWER_LIMIT.toMillis(), share) + promptTokens / TOKENS_PER_MILLI;
-    return Duration.ofMillis(millis);
+  private static Duration answerLimit(Route route, int promptTokens, Signs signs) {
+    double share = signs.overtaken() ? OVERTAKEN_SHARE : STUCK_SHARE;
+    long millis = (long) (route.objective().toMillis() * share);
+    return Duration.ofMillis(
+        Math.max(MIN_ANSWER_LIMIT.toMillis(), millis) + promptTokens / TOKENS_PER_MILLI);
   }
+
+  /**
+   * What is known of an attempt. Immutable.
+   *
+   * @param begun whether an answer has begun
+   * @param quiet time since the last sign of the attempt, its sending included
+   * @param serverQuiet time since the backend server last sent this entry anything
+   * @param overtaken whether the backend server began to answer requests that were sent later
+   */
+  record Signs(boolean begun, Duration quiet, Duration serverQuiet, boolean overtaken) {}
 }
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PathCheckerTest.java
@@ -0,0 +1,41 @@
+package org.guavagw.gateway.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.model.BackendServer;
+import org.junit.jupiter.api.Test;
+
+class PathCheckerTest {
+  private final BackendServer server = Samples.server("s", "dc", "v1");
+  private final List<Consumer<Boolean>> checks = new ArrayList<>();
+  private final PathChecker checker = new PathChecker((s, result) -> checks.add(result));
+
+  @Test
+  void shouldNotCallAPathLostBeforeTheCheckHasEnded() {
+    assertThat(checker.lost(server, 0)).isFalse();
+    assertThat(checker.lost(server, 1)).isFalse();
+    assertThat(checks).hasSize(1);
+  }
+
+  @Test
+  void shouldCallAPathLostThatCannotBeOpened() {
+    assertThat(checker.lost(server, 0)).isFalse();
+    checks.get(0).accept(false);
+    assertThat(checker.lost(server, 1)).isTrue();
+  }
+
+  @Test
+  void shouldTrustAGoodCheckForAWhile() {
+    assertThat(checker.lost(server, 0)).isFalse();
+    checks.get(0).accept(true);
+    assertThat(checker.lost(server, 1)).isFalse();
+    assertThat(checks).hasSize(1);
+    assertThat(checker.lost(server, Duration.ofSeconds(2).toNanos())).isFalse();
+    assertThat(checks).hasSize(2);
+  }
+}
