--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/logging/EventLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/logging/EventLog.java
@@ -7,15 +7,19 @@
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Writes one line of JSON for each event.
  *
  * <p>Never blocks its callers: lines wait in a bounded queue for a thread that writes them, and
- * those that find it full are counted and reported with the next line that fits. Thread-safe.
+ * those that find it full are counted and reported with the next line that fits. Each event has a
+ * rate beyond which its lines are left out and counted, so that what went well does not crowd out
+ * what failed. Thread-safe.
  */
 public final class EventLog implements AutoCloseable {
   /** Lines that may wait; a few seconds of a busy gateway. */
@@ -28,6 +32,7 @@
   private final PrintStream out;
   private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MAX_WAITING_LINES);
   private final AtomicLong dropped = new AtomicLong();
+  private final Map<String, EventRate> rates = new ConcurrentHashMap<>();
   private final Thread writer;
 
   /** A log of a node to a stream. */
@@ -40,9 +45,14 @@
     writer.start();
   }
 
-  /** Begins a line. */
+  /** Begins a line; lines of an event beyond its rate are counted and left out. */
   public Line event(String name) {
-    return new Line(name);
+    return new Line(name, false);
+  }
+
+  /** Begins a line on something that went wrong; it is left out only if the queue is full. */
+  public Line failure(String name) {
+    return new Line(name, true);
   }
 
   /** Lines that found the queue full so far. */
@@ -80,8 +90,12 @@
   public final class Line {
     private final StringWriter text = new StringWriter(256);
     private final JsonGenerator json;
+    private final String name;
+    private final boolean important;
 
-    private Line(String name) {
+    private Line(String name, boolean important) {
+      this.name = name;
+      this.important = important;
       try {
         json = JSON.createGenerator(text);
         json.writeStartObject();
@@ -115,7 +129,15 @@
 
     /** Queues the line. */
     public void write() {
+      EventRate rate = rates.computeIfAbsent(name, n -> new EventRate());
+      if (!important && !rate.admits(clock.instant().getEpochSecond())) {
+        return;
+      }
       try {
+        long leftOut = rate.takeLeftOut();
+        if (leftOut > 0) {
+          json.writeNumberField("left_out", leftOut);
+        }
         long lost = dropped.get();
         if (lost > 0) {
           json.writeNumberField("dropped_lines", lost);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -231,7 +231,7 @@
   private void logRefusal(HttpRequest request, Refusal refusal) {
     parts
         .log()
-        .event("request_refused")
+        .failure("request_refused")
         .with("id", caller == null ? "" : caller.id())
         .with("target", request.uri())
         .with("status", refusal.code().httpStatus())
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -127,6 +127,7 @@
                 request.caller().prompt(),
                 request.caller().promptTokens(),
                 cacheTokens);
+    log.attemptSent(chosen, model, unread, parts.loads().running(chosen));
     if (!sentBefore) {
       parts.repeats().apply(plan.service()).onFirst(now);
       sentBefore = true;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.placement.PromptWork;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.Team;
 
@@ -17,9 +18,22 @@
     this.request = request;
   }
 
+  void attemptSent(BackendServer server, Optional<String> model, PromptWork work, int running) {
+    EventLog.Line line =
+        line("attempt_sent")
+            .with("backend", server.id())
+            .with("backend_version", server.version())
+            .with("data_centre", server.dataCentre())
+            .with("running_there", running)
+            .with("tokens_to_read", work.tokens())
+            .with("reading_ms", Math.round(work.millis()));
+    model.ifPresent(m -> line.with("model", m));
+    line.write();
+  }
+
   void attemptFailed(BackendServer server, AttemptFailure failure, int events, long sentNanos) {
     parts.metrics().onAttemptFailed(failure.name());
-    line("attempt_failed")
+    failure("attempt_failed")
         .with("backend", server.id())
         .with("backend_version", server.version())
         .with("data_centre", server.dataCentre())
@@ -36,8 +50,9 @@
   void ended(End end, Optional<String> model, Optional<BackendServer> server) {
     long millis = (parts.ticker().read() - request.arrivedNanos()) / NANOS_PER_MILLI;
     parts.metrics().onRequest(request.route().repeatability().name(), end.status(), millis);
+    boolean failed = end.status() == 0 || end.status() >= 500;
     EventLog.Line line =
-        line("request")
+        (failed ? failure("request") : line("request"))
             .with("route", request.route().name())
             .with("team", request.team().map(Team::name).orElse(""))
             .with("outcome", end.outcome())
@@ -56,6 +71,10 @@
     line.write();
   }
 
+  private EventLog.Line failure(String event) {
+    return parts.log().failure(event).with("id", request.caller().id());
+  }
+
   private EventLog.Line line(String event) {
     return parts.log().event(event).with("id", request.caller().id());
   }
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/logging/EventLogTest.java
@@ -0,0 +1,64 @@
+package org.guavagw.gateway.internal.logging;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+class EventLogTest {
+  private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+  private final InstantSource clock = InstantSource.fixed(Instant.EPOCH);
+
+  @Test
+  void shouldWriteOneLineOfJsonForAnEvent() {
+    EventLog log = new EventLog("n1", clock, new PrintStream(bytes, true, StandardCharsets.UTF_8));
+    log.event("started").with("port", 8080).with("text", "a\"b").write();
+    log.close();
+    assertThat(bytes.toString(StandardCharsets.UTF_8))
+        .isEqualTo(
+            "{\"time\":\"1970-01-01T00:00:00Z\",\"node\":\"n1\",\"event\":\"started\","
+                + "\"port\":8080,\"text\":\"a\\\"b\"}\n");
+  }
+
+  @Test
+  void shouldNotSampleFailuresAwayForWhatWentWell() {
+    EventLog log = new EventLog("n1", clock, new PrintStream(bytes, true, StandardCharsets.UTF_8));
+    for (int i = 0; i < 1000; i++) {
+      log.event("request").write();
+    }
+    log.failure("request").with("failed", "yes").write();
+    log.close();
+    String text = bytes.toString(StandardCharsets.UTF_8);
+    assertThat(text.lines().count()).isLessThan(400);
+    assertThat(text).contains("\"left_out\":700").contains("\"failed\":\"yes\"");
+  }
+
+  @Test
+  void shouldNeverBlockItsCallersWhereNobodyReads() throws InterruptedException {
+    CountDownLatch never = new CountDownLatch(1);
+    OutputStream stuck =
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            try {
+              never.await();
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+          }
+        };
+    EventLog log = new EventLog("n1", clock, new PrintStream(stuck));
+    for (int i = 0; i < 20_000; i++) {
+      log.failure("request").write();
+    }
+    assertThat(log.droppedLines()).isPositive();
+    never.countDown();
+    log.close();
+  }
+}
