--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
@@ -8,6 +8,8 @@
   NO_CONNECTION(false),
   /** The backend server says that it did not execute the request. */
   NOT_EXECUTED(false),
+  /** A connection that had been idle was reset at once; the backend server had dropped it. */
+  STALE_CONNECTION(true),
   /** The connection ended before a complete answer. */
   BROKEN(true),
   /** What came is not an answer of the backend server. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -30,6 +30,9 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class BackendConnection extends ChannelInboundHandlerAdapter {
+  /** A dropped connection answers within a round trip; work that breaks off takes longer. */
+  private static final long STALE_LIMIT_NANOS = Duration.ofMillis(30).toNanos();
+
   private static final Duration DEFAULT_IDLE = Duration.ofSeconds(30);
 
   private final RelayFormat format;
@@ -44,6 +47,8 @@
   private boolean reusable = true;
   private boolean broken;
   private boolean closed;
+  private boolean reused;
+  private long sentNanos;
   private long uses;
   private Duration idleLimit = DEFAULT_IDLE;
 
@@ -68,6 +73,8 @@
     answering = false;
     skipping = false;
     sent = false;
+    reused = uses > 0;
+    sentNanos = System.nanoTime();
     uses++;
     long use = uses;
     write(request);
@@ -226,13 +233,18 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    fail(AttemptFailure.BROKEN);
+    fail(brokenOrStale());
+  }
+
+  private AttemptFailure brokenOrStale() {
+    boolean stale = reused && !answering && System.nanoTime() - sentNanos < STALE_LIMIT_NANOS;
+    return stale ? AttemptFailure.STALE_CONNECTION : AttemptFailure.BROKEN;
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     broken = true;
-    fail(AttemptFailure.BROKEN);
+    fail(brokenOrStale());
   }
 
   /** Control over one use of the connection; does nothing once that use has ended. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -356,6 +356,10 @@
     log.attemptFailed(server, failure, eventsPassed, attemptSentNanos);
     switch (failure) {
       case UNREACHABLE, SILENT -> parts.loads().onUnreachable(server, now);
+      case STALE_CONNECTION -> {
+        turnedAway++;
+        tried.remove(server.incarnation());
+      }
       case NO_CONNECTION -> {
         // says nothing about the backend server
       }
@@ -370,6 +374,8 @@
     }
     if (failure.mayHaveRun()) {
       allNotRun = false;
+    }
+    if (failure.mayHaveRun() && failure != AttemptFailure.STALE_CONNECTION) {
       countExecuted();
     }
     endAttempt();
