Pass nothing on of a dropped answer; keep the progress of an attempt in a class of its own

Cause: read in review: events that came in the same bytes as the one at which an answer was dropped were taken for the next attempt's; a refusal within a send could overwrite the attempt that followed it; a stream of which the caller had every event ended as broken. Change: collectors know whether they are current; AttemptProgress.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -17,8 +17,14 @@
   /** Changes arrive at once; a shorter wait would only cost calls. */
   private static final Duration OTHER_WAIT = Duration.ofSeconds(8);
 
-  /** Backend servers come in groups; far below the time to stop sending to one that leaves. */
-  private static final Duration BACKENDS_PAUSE = Duration.ofMillis(250);
+  /** Backend servers come in groups, which are cheaper to read with one call. */
+  private static final Duration MIN_PAUSE = Duration.ofMillis(200);
+
+  /** Each change wakes every entry, so that many entries gather longer. */
+  private static final Duration PAUSE_PER_ENTRY = Duration.ofMillis(6);
+
+  /** Well below the time to stop sending to a backend server that leaves. */
+  private static final Duration MAX_PAUSE = Duration.ofMillis(700);
 
   private final ScheduledExecutorService control;
   private final List<TableWatch> watches;
@@ -41,7 +47,7 @@
             new TableWatch(
                 format.ordersTable(),
                 ORDERS_WAIT,
-                Duration.ZERO,
+                () -> Duration.ZERO,
                 store,
                 state.ordersMirror(),
                 control,
@@ -50,7 +56,7 @@
             new TableWatch(
                 format.backendsTable(),
                 OTHER_WAIT,
-                BACKENDS_PAUSE,
+                () -> gatheringPause(roll.members().count()),
                 store,
                 state.backendsMirror(),
                 control,
@@ -59,7 +65,7 @@
             new TableWatch(
                 format.statusTable(),
                 OTHER_WAIT,
-                Duration.ZERO,
+                () -> Duration.ZERO,
                 store,
                 state.statusMirror(),
                 control,
@@ -67,6 +73,11 @@
                 log));
   }
 
+  private static Duration gatheringPause(int entries) {
+    Duration pause = MIN_PAUSE.plus(PAUSE_PER_ENTRY.multipliedBy(entries));
+    return pause.compareTo(MAX_PAUSE) < 0 ? pause : MAX_PAUSE;
+  }
+
   /** Begins to follow the tables. */
   public void start() {
     control.execute(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.spi.ControlStore;
 import org.guavagw.gateway.spi.RowBatch;
@@ -27,7 +28,7 @@
 
   private final String table;
   private final Duration wait;
-  private final Duration pause;
+  private final Supplier<Duration> pause;
   private final ControlStore store;
   private final TableMirror mirror;
   private final ScheduledExecutorService control;
@@ -47,7 +48,7 @@
   TableWatch(
       String table,
       Duration wait,
-      Duration pause,
+      Supplier<Duration> pause,
       ControlStore store,
       TableMirror mirror,
       ScheduledExecutorService control,
@@ -112,10 +113,11 @@
       mirror.apply(batch.rows(), ticker.read());
       mirror.checked(sent);
     }
-    if (batch.rows().isEmpty() || pause.isZero()) {
+    Duration gathering = batch.rows().isEmpty() ? Duration.ZERO : pause.get();
+    if (gathering.isZero()) {
       start();
     } else {
-      control.schedule(this::start, pause.toMillis(), TimeUnit.MILLISECONDS);
+      control.schedule(this::start, gathering.toMillis(), TimeUnit.MILLISECONDS);
     }
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/SlidingCount.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/SlidingCount.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.limits;
 
 import java.time.Duration;
+import java.util.Arrays;
 
 /**
  * Counts events in a sliding window, rounded up to a tenth of it.
@@ -35,7 +36,7 @@
   private void advance(long nowNanos) {
     long bucket = Math.floorDiv(nowNanos, bucketNanos);
     if (newestBucket == Long.MIN_VALUE || bucket - newestBucket > BUCKETS) {
-      java.util.Arrays.fill(counts, 0);
+      Arrays.fill(counts, 0);
       newestBucket = bucket;
       return;
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -131,8 +132,7 @@
       fail(AttemptFailure.UNUSABLE);
       return;
     }
-    informational =
-        head.status().codeClass() == io.netty.handler.codec.http.HttpStatusClass.INFORMATIONAL;
+    informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (informational) {
       return;
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -14,7 +13,6 @@
 import org.guavagw.RefusalCode;
 import org.guavagw.RunState;
 import org.guavagw.gateway.internal.control.ControlView;
-import org.guavagw.gateway.internal.placement.LoadBook;
 import org.guavagw.gateway.internal.placement.PromptWork;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.EngineSpec;
@@ -49,24 +47,18 @@
   private final TargetFinder targets;
   private final Set<String> tried = new HashSet<>();
   private final RequestPlan plan;
-  private final OptionalLong resumeAfter;
   private final ScheduledFuture<?> timeout;
   private Optional<String> model;
-  private BackendServer server;
+  private AttemptProgress progress;
   private Attempt attempt;
   private AnswerCollector collector;
-  private PromptWork unread;
   private int executed;
   private int turnedAway;
   private boolean sentBefore;
   private boolean allNotRun = true;
   private boolean begun;
   private boolean done;
-  private long attemptSentNanos;
-  private long attemptHeardNanos;
   private int attempts;
-  private boolean attemptBegun;
-  private boolean attemptCounted;
   private long firstEventNanos;
   private OptionalLong lastEvent;
   private int eventsPassed;
@@ -80,8 +72,7 @@
     this.plan = RequestPlan.of(request);
     this.targets = new TargetFinder(parts, request, plan);
     this.notes = new OutcomeNotes(parts, request.route(), plan);
-    this.resumeAfter = request.caller().resumeAfter();
-    this.lastEvent = resumeAfter;
+    this.lastEvent = request.caller().resumeAfter();
     this.model = parts.models().first(request.route(), request.caller());
     this.timeout =
         parts
@@ -112,13 +103,12 @@
   }
 
   private void send(ControlView view, BackendServer chosen, long now) {
-    server = chosen;
     tried.add(chosen.incarnation());
     Optional<ServiceSpec> spec =
         view.config().flatMap(c -> Optional.ofNullable(c.services().get(plan.service())));
     parts.cold().onSent(chosen, now);
     long cacheTokens = spec.flatMap(ServiceSpec::engine).map(EngineSpec::cacheTokens).orElse(0L);
-    unread =
+    PromptWork work =
         parts
             .loads()
             .onSent(
@@ -127,15 +117,12 @@
                 request.caller().prompt(),
                 request.caller().promptTokens(),
                 cacheTokens);
-    log.attemptSent(chosen, model, unread, parts.loads().running(chosen));
+    log.attemptSent(chosen, model, work, parts.loads().running(chosen));
     if (!sentBefore) {
       parts.repeats().apply(plan.service()).onFirst(now);
       sentBefore = true;
     }
-    attemptSentNanos = now;
-    attemptHeardNanos = now;
-    attemptBegun = false;
-    attemptCounted = false;
+    progress = new AttemptProgress(parts.loads(), chosen, work, now);
     watchForSilence(++attempts);
     collector =
         request.route().repeatability() == Repeatability.STREAM
@@ -143,10 +130,15 @@
             : new WholeAnswer(this);
     int connections =
         spec.map(s -> s.maxConnections() / parts.members().get().count()).orElse(MIN_CONNECTIONS);
-    attempt =
+    int current = attempts;
+    Attempt sent =
         parts
             .pool()
             .send(chosen, Math.max(MIN_CONNECTIONS, connections), outgoing(chosen, now), collector);
+    // The attempt may have failed already, and another one may have taken its place.
+    if (attempts == current && progress != null) {
+      attempt = sent;
+    }
   }
 
   /** Looks at an attempt now and then until it has ended. */
@@ -163,21 +155,15 @@
   }
 
   private void checkSilence(int watched) {
-    if (done || server == null || attempts != watched) {
+    if (done || progress == null || attempts != watched) {
       return;
     }
     long now = parts.ticker().read();
-    LoadBook loads = parts.loads();
-    SilencePolicy.Signs signs =
-        new SilencePolicy.Signs(
-            attemptBegun,
-            Duration.ofNanos(now - attemptHeardNanos),
-            loads.quiet(server, now),
-            loads.overtook(server, attemptSentNanos));
+    SilencePolicy.Signs signs = progress.signs(now);
     boolean lost =
         switch (SilencePolicy.judge(request.route(), request.caller().promptTokens(), signs)) {
           case WAIT -> false;
-          case CHECK_PATH -> parts.paths().lost(server, now);
+          case CHECK_PATH -> parts.paths().lost(progress.server(), now);
           case STUCK -> true;
         };
     if (lost && mayContinueElsewhere(now)) {
@@ -189,15 +175,10 @@
 
   /** Whether another attempt could follow; if not, the one under way is the caller's best hope. */
   private boolean mayContinueElsewhere(long now) {
-    int counted = executed + (attemptCounted ? 0 : 1);
+    int counted = executed + (progress.counted() ? 0 : 1);
     return counted < request.route().maxAttempts() && targets.choose(model, tried, now).isPresent();
   }
 
-  private void heard() {
-    attemptHeardNanos = parts.ticker().read();
-    parts.loads().onHeard(server, attemptHeardNanos);
-  }
-
   private OutgoingRequest outgoing(BackendServer chosen, long now) {
     AttemptHead head =
         new AttemptHead(
@@ -218,18 +199,16 @@
   }
 
   void onAnswerBegins(AnswerHead answer) {
-    heard();
+    progress.heard(parts.ticker().read());
     if (!answer.notExecuted()) {
-      attemptBegun = true;
-      parts.loads().onBegun(server, attemptSentNanos);
+      progress.begin();
       countExecuted();
       allNotRun = false;
     }
   }
 
   private void countExecuted() {
-    if (!attemptCounted) {
-      attemptCounted = true;
+    if (progress.count()) {
       executed++;
     }
   }
@@ -240,7 +219,7 @@
     if (good) {
       noteGood();
     } else {
-      notes.bad(server);
+      notes.bad(progress.server());
     }
     end(good ? "answered" : "server_error", answer.status());
     sink.answer(answer.status(), headers, body);
@@ -253,19 +232,18 @@
       event.bytes().release();
       return;
     }
-    heard();
-    noteFirstEvent();
+    progress.heard(parts.ticker().read());
+    progress.onEvent(lastEvent.isEmpty());
     if (!begun) {
       Optional<String> better = model.flatMap(m -> stronger(m, answer));
       if (better.isPresent() && tryStrongerModel(better.get(), answer.confidence().orElse(-1))) {
         event.bytes().release();
         return;
       }
-      begun = true;
       firstEventNanos = parts.ticker().read();
-      sink.begin(head.status().code(), HopHeaders.endToEnd(head.headers()));
+      beginOnce(head);
     }
-    promptDone();
+    progress.promptDone();
     if (event.id().isPresent()) {
       lastEvent = event.id();
     }
@@ -275,10 +253,10 @@
     }
   }
 
-  private void noteFirstEvent() {
-    if (unread != null && lastEvent.isEmpty()) {
-      double millis = (attemptHeardNanos - attemptSentNanos) / (double) NANOS_PER_MILLI;
-      parts.loads().onFirstEvent(unread, millis);
+  private void beginOnce(HttpResponse head) {
+    if (!begun) {
+      begun = true;
+      sink.begin(head.status().code(), HopHeaders.endToEnd(head.headers()));
     }
   }
 
@@ -302,13 +280,6 @@
     return true;
   }
 
-  private void promptDone() {
-    if (unread != null) {
-      parts.loads().onPromptDone(server, unread);
-      unread = null;
-    }
-  }
-
   /** The caller can take more. */
   void onWritable() {
     if (attempt != null) {
@@ -316,6 +287,11 @@
     }
   }
 
+  /** Whether a collector belongs to the attempt under way. */
+  boolean isCurrent(AnswerCollector candidate) {
+    return candidate.equals(collector);
+  }
+
   OptionalLong lastEvent() {
     return lastEvent;
   }
@@ -324,7 +300,9 @@
     return eventsPassed;
   }
 
-  void finishStream() {
+  /** Ends a stream; the head is for one that had no events left to pass on. */
+  void finishStream(HttpResponse head) {
+    beginOnce(head);
     noteGood();
     end("streamed", 200);
     sink.finish();
@@ -342,34 +320,35 @@
 
   /** An answer that was a server error will be asked for again; leave was taken already. */
   void onServerError() {
-    notes.bad(server);
-    log.attemptFailed(server, AttemptFailure.SERVER_ERROR, eventsPassed, attemptSentNanos);
+    notes.bad(progress.server());
+    log.attemptFailed(
+        progress.server(), AttemptFailure.SERVER_ERROR, eventsPassed, progress.sentNanos());
     endAttempt();
     dispatch();
   }
 
   void onFailed(AttemptFailure failure) {
-    if (done || server == null) {
+    if (done || progress == null) {
       return;
     }
     long now = parts.ticker().read();
-    log.attemptFailed(server, failure, eventsPassed, attemptSentNanos);
+    log.attemptFailed(progress.server(), failure, eventsPassed, progress.sentNanos());
     switch (failure) {
-      case UNREACHABLE, SILENT -> parts.loads().onUnreachable(server, now);
+      case UNREACHABLE, SILENT -> parts.loads().onUnreachable(progress.server(), now);
       case STALE_CONNECTION -> {
         turnedAway++;
-        tried.remove(server.incarnation());
+        tried.remove(progress.server().incarnation());
       }
       case NO_CONNECTION -> {
         // says nothing about the backend server
       }
       case NOT_EXECUTED -> {
         turnedAway++;
-        parts.loads().onOutcome(server, false, now);
+        parts.loads().onOutcome(progress.server(), false, now);
       }
       default -> {
         allNotRun = false;
-        notes.bad(server);
+        notes.bad(progress.server());
       }
     }
     if (failure.mayHaveRun()) {
@@ -462,14 +441,13 @@
   private void noteGood() {
     long now = parts.ticker().read();
     long until = firstEventNanos > 0 ? firstEventNanos : now;
-    notes.good(server, model, (until - attemptSentNanos) / (double) NANOS_PER_MILLI);
+    notes.good(progress.server(), model, (until - progress.sentNanos()) / (double) NANOS_PER_MILLI);
   }
 
   private void endAttempt() {
-    if (server != null) {
-      promptDone();
-      parts.loads().onEnded(server);
-      server = null;
+    if (progress != null) {
+      progress.end();
+      progress = null;
     }
     attempt = null;
     if (collector != null) {
@@ -485,7 +463,7 @@
     log.ended(
         new ExchangeLog.End(how, status, executed, turnedAway, firstEventNanos, eventsPassed),
         model,
-        Optional.ofNullable(server));
+        Optional.ofNullable(progress).map(AttemptProgress::server));
     endAttempt();
     request.body().release();
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswer.java
@@ -43,14 +43,21 @@
     }
     List<EventSplitter.Event> events = splitter.add(content);
     for (EventSplitter.Event event : events) {
-      if (!inOrder(event.id())) {
-        event.bytes().release();
-        exchange.giveUp(AttemptFailure.UNUSABLE);
-        continue;
-      }
-      exchange.passEvent(answer, head, event);
+      take(event);
     }
-    if (splitter.overflowed()) {
+    if (exchange.isCurrent(this) && splitter.overflowed()) {
+      exchange.giveUp(AttemptFailure.UNUSABLE);
+    }
+  }
+
+  private void take(EventSplitter.Event event) {
+    // An earlier event of the same bytes may have ended this attempt.
+    if (!exchange.isCurrent(this)) {
+      event.bytes().release();
+    } else if (inOrder(event.id())) {
+      exchange.passEvent(answer, head, event);
+    } else {
+      event.bytes().release();
       exchange.giveUp(AttemptFailure.UNUSABLE);
     }
   }
@@ -64,13 +71,17 @@
   public void onComplete() {
     if (refusal != null) {
       refusal.onComplete();
-    } else if (splitter.midEvent() || exchange.eventsPassed() == 0) {
+    } else if (splitter.midEvent() || nothingPassed()) {
       exchange.onFailed(AttemptFailure.BROKEN);
     } else {
-      exchange.finishStream();
+      exchange.finishStream(head);
     }
   }
 
+  private boolean nothingPassed() {
+    return exchange.eventsPassed() == 0 && exchange.lastEvent().isEmpty();
+  }
+
   @Override
   public void onFailed(AttemptFailure failure) {
     exchange.onFailed(failure);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutDirector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutDirector.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.control.Knowledge;
@@ -34,6 +35,9 @@
   /** How often entries tell one another what they saw where nothing went badly. */
   private static final Duration REPORT_PERIOD = Duration.ofSeconds(2);
 
+  /** Spreads the reports that begin a rollout over less than a second. */
+  private static final int MAX_LOOKS_BEFORE_BEGIN = 3;
+
   /** Wait before a write that failed is tried again. */
   private static final Duration WRITE_PAUSE = Duration.ofMillis(500);
 
@@ -131,6 +135,9 @@
       trials.put(order.service(), trial);
     }
     if (answer.isEmpty()) {
+      if (!trial.mayBegin()) {
+        return;
+      }
       report(trial, row, RolloutState.RUNNING, knowledge.storeMillis());
       return;
     }
@@ -217,6 +224,13 @@
     private boolean rejected;
     private boolean writing;
     private long toldMillis;
+    private final int firstLook = ThreadLocalRandom.current().nextInt(MAX_LOOKS_BEFORE_BEGIN);
+    private int looks;
+
+    /** Lets one entry after the other begin a rollout, as only one report can win. */
+    boolean mayBegin() {
+      return looks++ >= firstLook;
+    }
 
     Trial(RolloutOrder order) {
       this.order = order;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/ControlStore.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/ControlStore.java
@@ -17,9 +17,6 @@
   /** Writes a row if it still has the expected version; 0 means that it must not exist. */
   CompletableFuture<Long> putIf(String table, String key, byte[] value, long expectedVersion);
 
-  /** Drops connections, so that the next call opens fresh ones. */
-  void reconnect();
-
   @Override
   void close();
 }
