Let new sessions use the old version while the new one is too cold to take more

Cause: read in review: servers were narrowed to a version before the cold ones were left out, so that sessions of a new version were refused while its servers were cold. Change: the order of the two. Test: ServerChooserTest failed before in its third case.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ServerChooser.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ServerChooser.java
@@ -40,11 +40,12 @@
             .filter(s -> !s.draining())
             .filter(s -> !view.orders().evacuated().contains(s.dataCentre()))
             .toList();
-    List<BackendServer> ofVersion = versions.narrow(view, service, session, usable, nowNanos);
-    List<BackendServer> warm = ofVersion.stream().filter(s -> cold.allows(s, nowNanos)).toList();
+    // Those that may take no more now are left out first, so that new sessions go elsewhere.
+    List<BackendServer> warm = usable.stream().filter(s -> cold.allows(s, nowNanos)).toList();
+    List<BackendServer> ofVersion = versions.narrow(view, service, session, warm, nowNanos);
     return placer.choose(
         new PlacementQuery(
-            warm,
+            ofVersion,
             excluded,
             localDataCentre,
             model,
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/ServerChooserTest.java
@@ -0,0 +1,114 @@
+package org.guavagw.gateway.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.control.ControlView;
+import org.guavagw.gateway.internal.control.Orders;
+import org.guavagw.gateway.internal.control.Orders.ObservedRollout;
+import org.guavagw.gateway.internal.limits.ColdGate;
+import org.guavagw.gateway.internal.placement.AffinityPlacer;
+import org.guavagw.gateway.internal.placement.LoadBook;
+import org.guavagw.gateway.internal.rollout.RolloutClock;
+import org.guavagw.gateway.internal.rollout.VersionGate;
+import org.guavagw.gateway.internal.routing.RouteTable;
+import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.model.Repeatability;
+import org.guavagw.gateway.model.RolloutOrder;
+import org.guavagw.gateway.model.RolloutState;
+import org.guavagw.gateway.model.RolloutStatus;
+import org.junit.jupiter.api.Test;
+
+class ServerChooserTest {
+  private static final long COLD_UNTIL = Duration.ofSeconds(10).toNanos();
+  private final ColdGate cold = new ColdGate(s -> 1);
+  private final ServerChooser chooser =
+      new ServerChooser(
+          new VersionGate(Duration.ofSeconds(5), new LateRollout()),
+          cold,
+          new AffinityPlacer(new LoadBook()),
+          "here");
+
+  @Test
+  void shouldLeaveOutServersThatDrainOrWhoseDataCentreIsTakenOut() {
+    BackendServer taken = Samples.server("taken", "out", "v1");
+    BackendServer left = Samples.server("left", "here", "v1");
+    ControlView view = view(List.of(taken, left), Map.of(), Map.of(), Set.of("out"));
+    assertThat(choose(view, "s")).contains(left);
+    assertThat(choose(view(List.of(taken), Map.of(), Map.of(), Set.of("out")), "s")).isEmpty();
+  }
+
+  @Test
+  void shouldPreferTheOwnDataCentre() {
+    BackendServer far = Samples.server("far", "there", "v1");
+    BackendServer near = Samples.server("near", "here", "v1");
+    assertThat(choose(view(List.of(far, near), Map.of(), Map.of(), Set.of()), "s")).contains(near);
+  }
+
+  @Test
+  void shouldUseTheOldVersionWhereTheNewOneIsTooColdToTakeMore() {
+    BackendServer old = Samples.server("old", "here", "v1");
+    BackendServer fresh = Samples.server("fresh", "here", "v2", COLD_UNTIL);
+    ControlView view =
+        view(
+            List.of(old, fresh),
+            Map.of(
+                "engine",
+                new ObservedRollout(
+                    new RolloutOrder("engine", "v2", Duration.ofSeconds(20), 1), 0)),
+            Map.of("engine", new RolloutStatus("engine", "v2", RolloutState.RUNNING, 0, 2)),
+            Set.of());
+    assertThat(choose(view, "s")).contains(fresh);
+    cold.onSent(fresh, 0);
+    assertThat(choose(view, "s")).contains(old);
+  }
+
+  private Optional<BackendServer> choose(ControlView view, String session) {
+    AdmittedRequest request =
+        new AdmittedRequest(
+            new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/"),
+            Samples.request("r"),
+            Samples.route(Repeatability.STREAM, List.of(), 2),
+            Optional.empty(),
+            Unpooled.EMPTY_BUFFER,
+            false,
+            0,
+            1);
+    return chooser.choose(view, "engine", session, request, "", Set.of(), 1);
+  }
+
+  private static ControlView view(
+      List<BackendServer> servers,
+      Map<String, ObservedRollout> rollouts,
+      Map<String, RolloutStatus> statuses,
+      Set<String> evacuated) {
+    return new ControlView(
+        Optional.empty(),
+        new RouteTable(List.of()),
+        Map.of("engine", servers),
+        new Orders(rollouts, statuses, evacuated),
+        true);
+  }
+
+  /** A rollout whose sessions have all moved. */
+  private static final class LateRollout implements RolloutClock {
+    @Override
+    public Duration elapsed(ObservedRollout rollout, Optional<RolloutStatus> status) {
+      return rollout.order().within();
+    }
+
+    @Override
+    public boolean isRejected(RolloutOrder order) {
+      return false;
+    }
+  }
+}
