--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -18,13 +18,13 @@
   private static final Duration OTHER_WAIT = Duration.ofSeconds(8);
 
   /** Backend servers come in groups, which are cheaper to read with one call. */
-  private static final Duration MIN_PAUSE = Duration.ofMillis(200);
+  private static final Duration MIN_PAUSE = Duration.ofMillis(450);
 
   /** Each change wakes every entry, so that many entries gather longer. */
   private static final Duration PAUSE_PER_ENTRY = Duration.ofMillis(6);
 
   /** Well below the time to stop sending to a backend server that leaves. */
-  private static final Duration MAX_PAUSE = Duration.ofMillis(700);
+  private static final Duration MAX_PAUSE = Duration.ofMillis(800);
 
   private final ScheduledExecutorService control;
   private final List<TableWatch> watches;
