Break a stream off rather than mix an error into it; ask elsewhere where a stream fails

Cause: read in review: a backend server's error on a stream that was to be continued would have been written into the answer already begun; an answer was dropped also where nobody could be asked instead; an error on a stream that may be repeated went to the caller at once. Change: answerWhole gives up what has begun, tryStrongerModel looks for a server first, tryRepeat covers streams.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -215,6 +215,12 @@
 
   /** Passes a whole answer on and takes its body. */
   void answerWhole(AnswerHead answer, HttpHeaders headers, ByteBuf body) {
+    if (begun) {
+      // A stream that is to be continued can only get further events.
+      body.release();
+      onFailed(AttemptFailure.SERVER_ERROR);
+      return;
+    }
     boolean good = answer.status() < 500;
     if (good) {
       noteGood();
@@ -265,8 +271,10 @@
   }
 
   private boolean tryStrongerModel(String stronger, int confidence) {
+    long now = parts.ticker().read();
     if (executed >= request.route().maxAttempts()
-        || !parts.repeats().apply(plan.service()).tryRepeat(parts.ticker().read())) {
+        || targets.choose(Optional.of(stronger), Set.of(), now).isEmpty()
+        || !parts.repeats().apply(plan.service()).tryRepeat(now)) {
       return false;
     }
     String weaker = model.orElse("");
@@ -381,7 +389,8 @@
 
   /** Takes leave to send the request again after an answer that it could also be given. */
   boolean tryRepeat() {
-    return request.route().repeatability() == Repeatability.IDEMPOTENT
+    return request.route().repeatable()
+        && !begun
         && executed < request.route().maxAttempts()
         && parts.repeats().apply(plan.service()).tryRepeat(parts.ticker().read());
   }
