--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -354,10 +354,7 @@
         turnedAway++;
         parts.loads().onOutcome(progress.server(), false, now);
       }
-      default -> {
-        allNotRun = false;
-        notes.bad(progress.server());
-      }
+      default -> notes.bad(progress.server());
     }
     if (failure.mayHaveRun()) {
       allNotRun = false;
