Refuse sessions whose version nobody can tell during a rollout

Change: a lookup now says whether an absent pin means that there is none. A session of which nothing is known is served only on the old version, which a rollout cannot have moved it away from; otherwise it is refused as not run, with the time after which the store is asked again.

--- a/guavagw-core/src/main/java/org/guavagw/internal/pipeline/VersionFilter.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/pipeline/VersionFilter.java
@@ -14,6 +14,7 @@
 import org.guavagw.internal.rollout.NoVersion;
 import org.guavagw.internal.rollout.VersionChoice;
 import org.guavagw.internal.rollout.VersionChooser;
+import org.guavagw.internal.session.PinLookup;
 import org.guavagw.internal.session.SessionPins;
 
 /** Picks the version that runs a request for a model, keeping sessions on theirs. Thread-safe. */
@@ -52,15 +53,35 @@
   public Either<Refusal, VersionPick> pickForModel(Exchange exchange, String model) {
     GatewayConfig config = configs.current().config();
     TeamConfig team = exchange.requireTeam();
-    Optional<String> pinned =
-        exchange.terms().sessionId().flatMap(s -> pins.find(team.id(), s, model));
+    PinLookup pin =
+        exchange
+            .terms()
+            .sessionId()
+            .map(s -> pins.find(team.id(), s, model))
+            .orElse(PinLookup.NONE);
     String stickyKey = team.id() + '/' + exchange.terms().sessionId().orElse(exchange.requestId());
     return chooser
-        .choose(config, model, stickyKey, pinned, team::allows)
+        .choose(config, model, stickyKey, pin.version(), team::allows)
         .mapLeft(VersionFilter::refusal)
+        .filterOrElse(choice -> isSafe(choice, pin), choice -> unknownSession())
         .map(choice -> keep(exchange, team, choice));
   }
 
+  /**
+   * A rollout only ever moves sessions to its new version, so a session of which nothing is known
+   * can have begun on another version only if it would get the new one now.
+   */
+  private static boolean isSafe(VersionChoice choice, PinLookup pin) {
+    return pin.certain() || choice.reason() != ChoiceReason.ROLLOUT_NEW;
+  }
+
+  private static Refusal unknownSession() {
+    return Refusal.notRun(
+        RefusalCode.STORE_UNAVAILABLE,
+        "neither the table service nor another entry can say which version the session began on",
+        SessionPins.LOOKUP_RETRY);
+  }
+
   private VersionPick keep(Exchange exchange, TeamConfig team, VersionChoice choice) {
     VersionRef ref = choice.version();
     exchange.trace().chose(CandidateKind.VERSION, ref.toString());
--- a/guavagw-core/src/main/java/org/guavagw/internal/session/SessionPins.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/session/SessionPins.java
@@ -1,12 +1,15 @@
 package org.guavagw.internal.session;
 
-import java.util.Optional;
+import java.time.Duration;
 import org.guavagw.config.VersionRef;
 
 /** Remembers which version of a model a session runs on. Thread-safe. */
 public interface SessionPins {
-  /** The version that the session is pinned to. */
-  Optional<String> find(String team, String sessionId, String model);
+  /** A lookup that knew nothing may know more after this time: the table service is asked again. */
+  Duration LOOKUP_RETRY = Duration.ofSeconds(2);
+
+  /** What is known of the session's pin. */
+  PinLookup find(String team, String sessionId, String model);
 
   /**
    * Pins a session unless another entry already has, and gives the version that holds.
--- a/guavagw-core/src/main/java/org/guavagw/internal/session/TableSessionPins.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/session/TableSessionPins.java
@@ -32,7 +32,8 @@
  * can differ between entries, because a rollout moves it, the row is written before the request
  * runs; otherwise it follows in a batch. While the table service is away no configuration can
  * change, so every entry makes the same choice for a new session; for one that began earlier, while
- * a rollout moves the model, other entries are asked what they remember. Thread-safe.
+ * a rollout moves the model, other entries are asked what they remember, and where none of them
+ * does the lookup says that nothing is known. Thread-safe.
  */
 public final class TableSessionPins implements SessionPins {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -41,7 +42,6 @@
   private static final int MAX_WAITING = 50_000;
   private static final int PINS_PER_TRANSACTION = 25;
   private static final Duration IDLE_TIMEOUT = Duration.ofHours(2);
-  private static final Duration STORE_RETRY = Duration.ofSeconds(2);
 
   private final TableService table;
   private final Predicate<String> isMoving;
@@ -71,18 +71,22 @@
   }
 
   @Override
-  public Optional<String> find(String team, String sessionId, String model) {
+  public PinLookup find(String team, String sessionId, String model) {
     SessionKey key = new SessionKey(team, sessionId, model);
     String cached = cache.getIfPresent(key);
     if (cached != null) {
-      return Optional.of(cached);
+      return PinLookup.of(cached);
     }
     Optional<String> known = readRow(key).map(TableSessionPins::versionOf);
-    if (known.isEmpty() && !isStoreThere() && isMoving.test(model)) {
+    boolean moving = isMoving.test(model);
+    if (known.isEmpty() && !isStoreThere() && moving) {
       known = peers.find(key);
     }
-    known.ifPresent(v -> cache.put(key, v));
-    return known;
+    if (known.isEmpty()) {
+      return moving && !isStoreThere() ? PinLookup.UNKNOWN : PinLookup.NONE;
+    }
+    cache.put(key, known.get());
+    return PinLookup.of(known.get());
   }
 
   @Override
@@ -193,7 +197,7 @@
   }
 
   private void noteFailure(PlatformFailure failure) {
-    storeAwayUntilNanos.set(monotonic.read() + STORE_RETRY.toNanos());
+    storeAwayUntilNanos.set(monotonic.read() + LOOKUP_RETRY.toNanos());
     logger.atInfo().log("session pins wait for the table service: %s", failure);
   }
 
--- a/guavagw-core/src/test/java/org/guavagw/internal/session/TableSessionPinsTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/session/TableSessionPinsTest.java
@@ -29,7 +29,7 @@
     first.pin("team", "s", V1, false);
     first.flush();
 
-    assertThat(pins(false).find("team", "s", "small")).contains("v1");
+    assertThat(pins(false).find("team", "s", "small")).isEqualTo(PinLookup.of("v1"));
   }
 
   @Test
@@ -39,7 +39,7 @@
     pins.pin("team", "s", V1, false);
     pins.flush();
     assertThat(pins.waitingCount()).isEqualTo(1);
-    assertThat(pins.find("team", "s", "small")).contains("v1");
+    assertThat(pins.find("team", "s", "small")).isEqualTo(PinLookup.of("v1"));
 
     table.faults().down(false);
     TableSessionPins recovered = pins;
@@ -47,7 +47,7 @@
     recovered.flush();
 
     assertThat(recovered.waitingCount()).isZero();
-    assertThat(pins(false).find("team", "s", "small")).contains("v1");
+    assertThat(pins(false).find("team", "s", "small")).isEqualTo(PinLookup.of("v1"));
   }
 
   @Test
@@ -56,7 +56,7 @@
     pins.pin("team", "s", V1, false);
     pins.pin("team", "s", V2, true);
 
-    assertThat(pins(true).find("team", "s", "small")).contains("v2");
+    assertThat(pins(true).find("team", "s", "small")).isEqualTo(PinLookup.of("v2"));
   }
 
   @Test
@@ -67,7 +67,26 @@
     TableSessionPins second = pins(true);
     table.faults().down(true);
 
-    assertThat(second.find("team", "s", "small")).contains("v1");
+    assertThat(second.find("team", "s", "small")).isEqualTo(PinLookup.of("v1"));
+  }
+
+  @Test
+  void shouldSayThatNothingIsKnownWhileTheStoreIsAwayAndARolloutMoves() {
+    table.faults().down(true);
+
+    assertThat(pins(true).find("team", "s", "small")).isEqualTo(PinLookup.UNKNOWN);
+  }
+
+  @Test
+  void shouldBeCertainThatASessionIsNewWhereTheStoreHasNoRow() {
+    assertThat(pins(true).find("team", "s", "small")).isEqualTo(PinLookup.NONE);
+  }
+
+  @Test
+  void shouldTakeSessionsAsNewWhileTheStoreIsAwayAndNothingMoves() {
+    table.faults().down(true);
+
+    assertThat(pins(false).find("team", "s", "small")).isEqualTo(PinLookup.NONE);
   }
 
   private long now;
