Count a suspension between a question to the store and its answer

Cause: an answer of the store that lay unread while the VM was suspended was dated by the monotonic clock only, which stands still in that time. An entry that woke up took keys as freshly checked that had been withdrawn while it was suspended. Change: a check is dated by both clocks as of the sending of its question (Moment), and its age is the larger of the two differences.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -90,7 +90,7 @@
                 peers,
                 roll::members));
     ControlPlane plane =
-        closer.register(new ControlPlane(store, format, state, roll, controlLoop, ticker, log));
+        closer.register(new ControlPlane(store, format, state, roll, controlLoop, clocks, log));
     closer.register(new ProbeServer(traffic, settings.readyAddress(), this::readiness));
     closer.register(
         new ProbeServer(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -1,12 +1,12 @@
 package org.guavagw.gateway.internal.control;
 
-import com.google.common.base.Ticker;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlStore;
+import org.guavagw.internal.time.Clocks;
 
 /** Follows the tables of the store that the gateway is decided by. Thread-safe. */
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -38,7 +38,7 @@
       ControlState state,
       MemberRoll roll,
       ScheduledExecutorService control,
-      Ticker ticker,
+      Clocks clocks,
       EventLog log) {
     this.control = control;
     this.roll = roll;
@@ -51,7 +51,7 @@
                 store,
                 state.ordersMirror(),
                 control,
-                ticker,
+                clocks,
                 log),
             new TableWatch(
                 format.backendsTable(),
@@ -60,7 +60,7 @@
                 store,
                 state.backendsMirror(),
                 control,
-                ticker,
+                clocks,
                 log),
             new TableWatch(
                 format.statusTable(),
@@ -69,7 +69,7 @@
                 store,
                 state.statusMirror(),
                 control,
-                ticker,
+                clocks,
                 log));
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -85,8 +85,8 @@
       }
 
       @Override
-      public void checked(long nanos) {
-        knowledge.ordersChecked(nanos);
+      public void checked(Moment moment) {
+        knowledge.ordersChecked(moment);
       }
     };
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Knowledge.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Knowledge.java
@@ -1,7 +1,6 @@
 package org.guavagw.gateway.internal.control;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.function.Supplier;
 import org.guavagw.internal.time.Clocks;
 
@@ -18,7 +17,7 @@
   private final Clocks clocks;
   private volatile long storeOffsetMillis = UNKNOWN_OFFSET;
   private volatile ControlView view = ControlView.EMPTY;
-  private volatile Checked checked;
+  private volatile Moment checked;
 
   /** Nothing known yet. */
   public Knowledge(Clocks clocks) {
@@ -30,20 +29,10 @@
     return view;
   }
 
-  /**
-   * How long ago the orders were last known to be the newest; a very long time before that.
-   *
-   * <p>The monotonic clock stands still while a VM is suspended, so the wall clock counts where it
-   * says that more time has passed.
-   */
+  /** How long ago the orders were last known to be the newest; a very long time before that. */
   public Duration ordersAge() {
-    Checked last = checked;
-    if (last == null) {
-      return Duration.ofDays(1);
-    }
-    Duration monotonic = Duration.ofNanos(clocks.monotonic().read() - last.nanos());
-    Duration wall = Duration.between(last.wall(), clocks.wall().instant());
-    return wall.compareTo(monotonic) > 0 ? wall : monotonic;
+    Moment last = checked;
+    return last == null ? Duration.ofDays(1) : last.age(clocks);
   }
 
   /** Whether requests can be decided at all. */
@@ -66,14 +55,11 @@
     view = next;
   }
 
-  void ordersChecked(long nanos) {
-    Checked last = checked;
-    if (last == null || nanos - last.nanos() > 0) {
-      long ago = clocks.monotonic().read() - nanos;
-      checked = new Checked(nanos, clocks.wall().instant().minusNanos(ago));
+  /** Notes that the orders were the newest at a moment. */
+  void ordersChecked(Moment moment) {
+    Moment last = checked;
+    if (last == null || moment.nanos() - last.nanos() > 0) {
+      checked = moment;
     }
   }
-
-  /** When the orders were last known to be the newest, by both clocks. Immutable. */
-  private record Checked(long nanos, Instant wall) {}
 }
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Moment.java
@@ -0,0 +1,27 @@
+package org.guavagw.gateway.internal.control;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.guavagw.internal.time.Clocks;
+
+/**
+ * One moment as both clocks show it. Immutable.
+ *
+ * <p>The monotonic clock stands still while a VM is suspended and the wall clock may be set, so the
+ * age of a moment is the larger of the two differences.
+ */
+record Moment(long nanos, Instant wall) {
+  static Moment now(Clocks clocks) {
+    return new Moment(clocks.monotonic().read(), clocks.wall().instant());
+  }
+
+  Moment plus(Duration time) {
+    return new Moment(nanos + time.toNanos(), wall.plus(time));
+  }
+
+  Duration age(Clocks clocks) {
+    Duration monotonic = Duration.ofNanos(clocks.monotonic().read() - nanos);
+    Duration byWall = Duration.between(wall, clocks.wall().instant());
+    return byWall.compareTo(monotonic) > 0 ? byWall : monotonic;
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableMirror.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableMirror.java
@@ -17,6 +17,6 @@
   /** Notes that the store answers again after it did not. */
   default void regained(long nowNanos) {}
 
-  /** Notes that everything acknowledged before a monotonic time has been taken. */
-  default void checked(long nanos) {}
+  /** Notes that everything acknowledged before a moment has been taken. */
+  default void checked(Moment moment) {}
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
@@ -1,6 +1,5 @@
 package org.guavagw.gateway.internal.control;
 
-import com.google.common.base.Ticker;
 import java.time.Duration;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -10,6 +9,7 @@
 import org.guavagw.gateway.spi.ControlStore;
 import org.guavagw.gateway.spi.RowBatch;
 import org.guavagw.gateway.spi.StoreFailure;
+import org.guavagw.internal.time.Clocks;
 
 /**
  * Follows one table: reads it whole, then waits for changes, and reads it whole again where history
@@ -32,7 +32,7 @@
   private final ControlStore store;
   private final TableMirror mirror;
   private final ScheduledExecutorService control;
-  private final Ticker ticker;
+  private final Clocks clocks;
   private final EventLog log;
   private long version;
   private boolean mirrored;
@@ -52,7 +52,7 @@
       ControlStore store,
       TableMirror mirror,
       ScheduledExecutorService control,
-      Ticker ticker,
+      Clocks clocks,
       EventLog log) {
     this.table = table;
     this.wait = wait;
@@ -60,7 +60,7 @@
     this.store = store;
     this.mirror = mirror;
     this.control = control;
-    this.ticker = ticker;
+    this.clocks = clocks;
     this.log = log;
   }
 
@@ -68,7 +68,7 @@
     if (closed) {
       return;
     }
-    long sent = ticker.read();
+    Moment sent = Moment.now(clocks);
     if (mirrored) {
       store
           .changesSince(table, version, wait)
@@ -82,7 +82,7 @@
     closed = true;
   }
 
-  private void onWholeTable(long sent, RowBatch batch, Throwable failure) {
+  private void onWholeTable(Moment sent, RowBatch batch, Throwable failure) {
     if (failure != null) {
       retryLater(failure);
       return;
@@ -90,27 +90,27 @@
     if (batch.version() >= version) {
       version = batch.version();
       mirrored = true;
-      mirror.storeClock(batch.storeMillis(), ticker.read());
+      mirror.storeClock(batch.storeMillis(), nowNanos());
       noteRegained();
-      mirror.replace(batch.rows(), ticker.read());
+      mirror.replace(batch.rows(), nowNanos());
       mirror.checked(sent);
     }
     start();
   }
 
-  private void onChanges(long sent, RowBatch batch, Throwable failure) {
+  private void onChanges(Moment sent, RowBatch batch, Throwable failure) {
     if (failure != null) {
       retryLater(failure);
       return;
     }
     noteRegained();
     version = Math.max(version, batch.version());
-    mirror.storeClock(batch.storeMillis(), ticker.read());
+    mirror.storeClock(batch.storeMillis(), nowNanos());
     if (batch.rows().isEmpty()) {
-      long waited = Math.min(ticker.read() - sent, wait.minus(WAIT_SLACK).toNanos());
-      mirror.checked(sent + Math.max(0, waited));
+      long waited = Math.min(nowNanos() - sent.nanos(), wait.minus(WAIT_SLACK).toNanos());
+      mirror.checked(sent.plus(Duration.ofNanos(Math.max(0, waited))));
     } else {
-      mirror.apply(batch.rows(), ticker.read());
+      mirror.apply(batch.rows(), nowNanos());
       mirror.checked(sent);
     }
     Duration gathering = batch.rows().isEmpty() ? Duration.ZERO : pause.get();
@@ -121,10 +121,14 @@
     }
   }
 
+  private long nowNanos() {
+    return clocks.monotonic().read();
+  }
+
   private void noteRegained() {
     if (failing) {
       failing = false;
-      mirror.regained(ticker.read());
+      mirror.regained(nowNanos());
       log.event("dependency_regained").with("dependency", "store").with("table", table).write();
     }
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/KnowledgeTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/KnowledgeTest.java
@@ -18,21 +18,21 @@
 
   @Test
   void shouldAgeFromTheLastCheck() {
-    knowledge.ordersChecked(clock.read());
+    knowledge.ordersChecked(now());
     clock.advance(Duration.ofSeconds(2));
     assertThat(knowledge.ordersAge()).isEqualTo(Duration.ofSeconds(2));
   }
 
   @Test
   void shouldAgeWhileTheVmWasSuspended() {
-    knowledge.ordersChecked(clock.read());
+    knowledge.ordersChecked(now());
     clock.stepWall(Duration.ofSeconds(6));
     assertThat(knowledge.ordersAge()).isEqualTo(Duration.ofSeconds(6));
   }
 
   @Test
   void shouldNotGrowYoungerWhenTheWallClockIsSetBack() {
-    knowledge.ordersChecked(clock.read());
+    knowledge.ordersChecked(now());
     clock.advance(Duration.ofSeconds(3));
     clock.stepWall(MINUTE.negated());
     assertThat(knowledge.ordersAge()).isEqualTo(Duration.ofSeconds(3));
@@ -40,8 +40,20 @@
 
   @Test
   void shouldKeepTheNewestCheck() {
-    knowledge.ordersChecked(clock.read());
-    knowledge.ordersChecked(clock.read() - Duration.ofSeconds(1).toNanos());
+    knowledge.ordersChecked(now());
+    knowledge.ordersChecked(now().plus(Duration.ofSeconds(-1)));
     assertThat(knowledge.ordersAge()).isEqualTo(Duration.ZERO);
   }
+
+  @Test
+  void shouldCountASuspensionBetweenAQuestionAndItsAnswer() {
+    Moment sent = now();
+    clock.stepWall(Duration.ofSeconds(6));
+    knowledge.ordersChecked(sent);
+    assertThat(knowledge.ordersAge()).isEqualTo(Duration.ofSeconds(6));
+  }
+
+  private Moment now() {
+    return Moment.now(clock.clocks());
+  }
 }
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ScriptedStore.java
@@ -0,0 +1,73 @@
+package org.guavagw.gateway.internal.control;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.guavagw.gateway.spi.ControlStore;
+import org.guavagw.gateway.spi.RowBatch;
+import org.guavagw.gateway.spi.StoreFailure;
+import org.guavagw.gateway.spi.StoredRow;
+
+/** A store whose answers tests give by hand. Not thread-safe. */
+final class ScriptedStore implements ControlStore {
+  private final List<Call> calls = new ArrayList<>();
+  private final List<Call> open = new ArrayList<>();
+
+  @Override
+  public CompletableFuture<RowBatch> readAll(String table) {
+    return record(new Call("read", table, 0, Duration.ZERO, new CompletableFuture<>()));
+  }
+
+  @Override
+  public CompletableFuture<RowBatch> changesSince(String table, long version, Duration wait) {
+    return record(new Call("feed", table, version, wait, new CompletableFuture<>()));
+  }
+
+  @Override
+  public CompletableFuture<Long> putIf(
+      String table, String key, byte[] value, long expectedVersion) {
+    return CompletableFuture.completedFuture(expectedVersion + 1);
+  }
+
+  private CompletableFuture<RowBatch> record(Call call) {
+    calls.add(call);
+    open.add(call);
+    return call.answer();
+  }
+
+  /** Calls to a table so far. */
+  List<Call> calls(String table) {
+    return calls.stream().filter(c -> c.table().equals(table)).toList();
+  }
+
+  /** The call to a table that waits for its answer. */
+  Call open(String table) {
+    return open.stream().filter(c -> c.table().equals(table)).findFirst().orElseThrow();
+  }
+
+  boolean hasOpen(String table) {
+    return open.stream().anyMatch(c -> c.table().equals(table));
+  }
+
+  void answer(String table, long version, StoredRow... rows) {
+    Call call = open(table);
+    open.remove(call);
+    call.answer().complete(new RowBatch(List.of(rows), version, version));
+  }
+
+  void fail(String table, StoreFailure.Kind kind) {
+    Call call = open(table);
+    open.remove(call);
+    call.answer().completeExceptionally(new StoreFailure(kind, "scripted"));
+  }
+
+  @Override
+  public void close() {
+    open.clear();
+  }
+
+  /** A call that was made. */
+  record Call(
+      String kind, String table, long since, Duration patience, CompletableFuture<RowBatch> answer) {}
+}
