--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -10,10 +10,12 @@
 import org.guavagw.gateway.internal.control.ControlState;
 import org.guavagw.gateway.internal.control.Knowledge;
 import org.guavagw.gateway.internal.control.MemberRoll;
-import org.guavagw.gateway.internal.control.Members.Member;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.peers.Hubs;
+import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.internal.peers.Peers;
+import org.guavagw.gateway.internal.peers.ReplicaQuery;
 import org.guavagw.gateway.internal.relay.ProbeServer;
 import org.guavagw.gateway.internal.relay.ProbeServer.ProbeAnswer;
 import org.guavagw.gateway.internal.relay.Relay;
@@ -56,7 +58,7 @@
     ControlFormat format = adapter.controlFormat();
     this.knowledge = new Knowledge(clocks);
     ControlStore store = closer.register(adapter.openStore(control, controlLoop, metrics));
-    ControlState state = new ControlState(format, knowledge, controlLoop, log);
+    ControlState state = new ControlState(format, knowledge, controlLoop, clocks, log);
     Peers peers =
         closer.register(
             new Peers(
@@ -73,6 +75,7 @@
             settings.peerAddress().getHostString(),
             settings.peerAddress().getPort());
     MemberRoll roll = new MemberRoll(self, store, format, controlLoop, log, peers::onMembers);
+    Hubs hubs = new Hubs(roll::members, ticker);
     RolloutDirector rollouts =
         new RolloutDirector(knowledge, store, format, trafficLoop, controlLoop, peers, log);
     this.relay =
@@ -88,9 +91,19 @@
                 log,
                 metrics,
                 peers,
+                hubs,
                 roll::members));
     ControlPlane plane =
-        closer.register(new ControlPlane(store, format, state, roll, controlLoop, clocks, log));
+        closer.register(
+            new ControlPlane(
+                store, format, state, roll, knowledge, hubs, peers, controlLoop, clocks, log));
+    peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
+    serveProbes(traffic, metrics);
+    plane.start();
+    rollouts.start();
+  }
+
+  private void serveProbes(Transport traffic, GatewayMetrics metrics) {
     closer.register(new ProbeServer(traffic, settings.readyAddress(), this::readiness));
     closer.register(
         new ProbeServer(
@@ -98,8 +111,6 @@
     metrics.gauge("config_version", () -> knowledge.get().configVersion());
     metrics.gauge("orders_age_seconds", () -> knowledge.ordersAge().toMillis() / 1000.0);
     metrics.gauge("log_lines_dropped", log::droppedLines);
-    plane.start();
-    rollouts.start();
   }
 
   /** Starts a gateway. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -2,21 +2,42 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.peers.Hubs;
+import org.guavagw.gateway.internal.peers.PeerRequests;
+import org.guavagw.gateway.internal.peers.ReplicaQuery;
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlStore;
+import org.guavagw.internal.peer.PeerMessage;
 import org.guavagw.internal.time.Clocks;
 
-/** Follows the tables of the store that the gateway is decided by. Thread-safe. */
+/**
+ * Follows the tables that the gateway is decided by, at the store or at the hub of the data centre.
+ * Thread-safe.
+ */
 @SuppressWarnings("FutureReturnValueIgnored")
-public final class ControlPlane implements AutoCloseable {
+public final class ControlPlane implements AutoCloseable, StoreListener {
   /** Each answer proves anew that the orders are current, well within the time to revoke a key. */
   private static final Duration ORDERS_WAIT = Duration.ofMillis(1500);
 
+  /**
+   * The same at a hub: those that follow it must find out that it lost the store, and catch up,
+   * within the bound on configurations.
+   */
+  private static final Duration HUB_ORDERS_WAIT = Duration.ofMillis(500);
+
   /** Changes arrive at once; a shorter wait would only cost calls. */
   private static final Duration OTHER_WAIT = Duration.ofSeconds(8);
 
+  /** Entries come and go rarely. */
+  private static final Duration MEMBERS_WAIT = Duration.ofSeconds(25);
+
+  /** Entries start together. */
+  private static final Duration MEMBERS_PAUSE = Duration.ofSeconds(1);
+
   /** Backend servers come in groups, which are cheaper to read with one call. */
   private static final Duration MIN_PAUSE = Duration.ofMillis(450);
 
@@ -26,10 +47,13 @@
   /** Well below the time to stop sending to a backend server that leaves. */
   private static final Duration MAX_PAUSE = Duration.ofMillis(800);
 
+  private final ControlState state;
+  private final MemberRoll roll;
   private final ScheduledExecutorService control;
+  private final StoreHealth health;
   private final List<TableWatch> watches;
-
-  private final MemberRoll roll;
+  private final ReplicaServer server;
+  private final Follower follower;
 
   /** A control plane that starts on {@link #start}. */
   public ControlPlane(
@@ -37,58 +61,83 @@
       ControlFormat format,
       ControlState state,
       MemberRoll roll,
+      Knowledge knowledge,
+      Hubs hubs,
+      PeerRequests peers,
       ScheduledExecutorService control,
       Clocks clocks,
       EventLog log) {
-    this.control = control;
+    this.state = state;
     this.roll = roll;
+    this.control = control;
+    this.health = new StoreHealth(format.ordersTable());
+    TableReplica orders = new TableReplica(format.ordersTable(), state.ordersMirror());
+    TableReplica backends = new TableReplica(format.backendsTable(), state.backendsMirror());
+    TableReplica status = new TableReplica(format.statusTable(), state.statusMirror());
+    TableReplica members = new TableReplica(format.membersTable(), roll);
+    List<TableReplica> replicas = List.of(orders, backends, status, members);
+    this.server =
+        new ReplicaServer(
+            replicas, orders, health, state::lapsesExpected, knowledge, control, clocks);
+    WatchPace ordersPace =
+        new WatchPace(() -> server.followed() ? HUB_ORDERS_WAIT : ORDERS_WAIT, () -> Duration.ZERO);
+    WatchPace backendsPace = new WatchPace(() -> OTHER_WAIT, this::gatheringPause);
+    WatchPace statusPace = new WatchPace(() -> OTHER_WAIT, () -> Duration.ZERO);
+    WatchPace membersPace = new WatchPace(() -> MEMBERS_WAIT, () -> MEMBERS_PAUSE);
     this.watches =
         List.of(
-            new TableWatch(
-                format.ordersTable(),
-                ORDERS_WAIT,
-                () -> Duration.ZERO,
-                store,
-                state.ordersMirror(),
-                control,
-                clocks,
-                log),
-            new TableWatch(
-                format.backendsTable(),
-                OTHER_WAIT,
-                () -> gatheringPause(roll.members().count()),
-                store,
-                state.backendsMirror(),
-                control,
-                clocks,
-                log),
-            new TableWatch(
-                format.statusTable(),
-                OTHER_WAIT,
-                () -> Duration.ZERO,
-                store,
-                state.statusMirror(),
-                control,
-                clocks,
-                log));
+            new TableWatch(orders, ordersPace, store, health, this, control, clocks, log),
+            new TableWatch(backends, backendsPace, store, health, this, control, clocks, log),
+            new TableWatch(status, statusPace, store, health, this, control, clocks, log),
+            new TableWatch(members, membersPace, store, health, this, control, clocks, log));
+    this.follower =
+        new Follower(
+            replicas,
+            hubs,
+            peers,
+            () -> watches.forEach(TableWatch::start),
+            () -> watches.forEach(TableWatch::stop),
+            () -> state.storeRegained(false),
+            control,
+            clocks,
+            log);
   }
 
-  private static Duration gatheringPause(int entries) {
-    Duration pause = MIN_PAUSE.plus(PAUSE_PER_ENTRY.multipliedBy(entries));
+  private Duration gatheringPause() {
+    Duration pause = MIN_PAUSE.plus(PAUSE_PER_ENTRY.multipliedBy(roll.members().count()));
     return pause.compareTo(MAX_PAUSE) < 0 ? pause : MAX_PAUSE;
   }
 
   /** Begins to follow the tables. */
   public void start() {
-    control.execute(
-        () -> {
-          watches.forEach(TableWatch::start);
-          roll.start();
-        });
+    control.execute(follower::start);
+  }
+
+  /** Answers another entry that follows this one. */
+  public CompletionStage<PeerMessage> onQuery(ReplicaQuery query) {
+    return CompletableFuture.supplyAsync(() -> server.onQuery(query), control)
+        .thenCompose(answer -> answer);
+  }
+
+  @Override
+  public void onReplicaChanged() {
+    server.onReplicaChanged();
+  }
+
+  @Override
+  public void onStoreLost() {
+    state.storeLost();
+    server.refuseAll();
+  }
+
+  @Override
+  public void onStoreRegained() {
+    state.storeRegained(health.failing());
+    watches.forEach(TableWatch::retryNow);
   }
 
   @Override
   public void close() {
-    control.execute(() -> watches.forEach(TableWatch::close));
+    control.execute(() -> watches.forEach(TableWatch::stop));
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -19,6 +19,7 @@
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlRow;
 import org.guavagw.gateway.spi.StoredRow;
+import org.guavagw.internal.time.Clocks;
 
 /**
  * Builds the view from rows of the store. Confined to the control thread; publishes immutable
@@ -39,6 +40,7 @@
   private final ScheduledExecutorService control;
   private final Knowledge knowledge;
   private final EventLog log;
+  private final Clocks clocks;
   private final Map<String, BackendServer> backends = new HashMap<>();
   private final Map<String, Orders.ObservedRollout> rollouts = new HashMap<>();
   private final Map<String, String> rolloutKeys = new HashMap<>();
@@ -47,17 +49,23 @@
   private Optional<GatewayConfig> config = Optional.empty();
   private RouteTable routes = new RouteTable(List.of());
   private final Set<String> lapsed = new HashSet<>();
+  private boolean storeAway;
   private boolean lapsePossible;
   private long lapseUntilNanos;
   private boolean backendsKnown;
 
   /** State that knows nothing yet. */
   public ControlState(
-      ControlFormat format, Knowledge knowledge, ScheduledExecutorService control, EventLog log) {
+      ControlFormat format,
+      Knowledge knowledge,
+      ScheduledExecutorService control,
+      Clocks clocks,
+      EventLog log) {
     this.format = format;
     this.control = control;
     this.knowledge = knowledge;
     this.log = log;
+    this.clocks = clocks;
   }
 
   TableMirror ordersMirror() {
@@ -93,19 +101,11 @@
 
   TableMirror backendsMirror() {
     return new TableMirror() {
-      @Override
-      public void regained(long nowNanos) {
-        lapseUntilNanos = nowNanos + LAPSE_GRACE.toNanos();
-        lapsePossible = true;
-        control.schedule(
-            ControlState.this::dropLapsed, LAPSE_GRACE.toMillis(), TimeUnit.MILLISECONDS);
-      }
-
       @Override
       public void replace(List<StoredRow> rows, long nowNanos) {
         Set<String> gone = new HashSet<>(backends.keySet());
         rows.forEach(row -> gone.remove(row.key()));
-        gone.forEach(id -> removeBackend(id, nowNanos));
+        gone.forEach(id -> removeBackend(id));
         backendsKnown = true;
         apply(rows, nowNanos);
       }
@@ -134,6 +134,28 @@
     };
   }
 
+  /** Notes that calls to the store fail, so that entries may lapse for no other reason. */
+  void storeLost() {
+    storeAway = true;
+  }
+
+  /**
+   * Notes that calls to the store go well again.
+   *
+   * @param stillAway whether those to other tables still fail
+   */
+  void storeRegained(boolean stillAway) {
+    storeAway = stillAway;
+    lapsePossible = true;
+    lapseUntilNanos = clocks.monotonic().read() + LAPSE_GRACE.toNanos();
+    control.schedule(this::dropLapsed, LAPSE_GRACE.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Whether an entry that is gone now may have lapsed though its server lives. */
+  boolean lapsesExpected() {
+    return storeAway || (lapsePossible && lapseUntilNanos - clocks.monotonic().read() > 0);
+  }
+
   private void keepFirstSeen(String service, Orders.ObservedRollout earlier) {
     rollouts.computeIfPresent(
         service, (s, now) -> now.order().revision() == earlier.order().revision() ? earlier : now);
@@ -185,7 +207,7 @@
 
   private void takeBackend(StoredRow row, long nowNanos) {
     if (row.removed()) {
-      removeBackend(row.key(), nowNanos);
+      removeBackend(row.key());
       return;
     }
     lapsed.remove(row.key());
@@ -211,12 +233,12 @@
     }
   }
 
-  private void removeBackend(String id, long nowNanos) {
+  private void removeBackend(String id) {
     BackendServer server = backends.get(id);
     if (server == null) {
       return;
     }
-    if (lapsePossible && lapseUntilNanos - nowNanos > 0 && !server.draining()) {
+    if (lapsesExpected() && !server.draining()) {
       lapsed.add(id);
       log.event("backend_lapsed").with("backend", id).write();
       return;
@@ -227,6 +249,9 @@
 
   /** Removes backend servers whose entries did not come back in time. */
   private void dropLapsed() {
+    if (lapsesExpected()) {
+      return;
+    }
     for (String id : lapsed) {
       backends.remove(id);
       log.event("backend_gone").with("backend", id).with("reason", "entry lapsed").write();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberRoll.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberRoll.java
@@ -1,40 +1,40 @@
 package org.guavagw.gateway.internal.control;
 
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.guavagw.gateway.internal.control.Members.Member;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.peers.Members;
+import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlStore;
-import org.guavagw.gateway.spi.RowBatch;
 import org.guavagw.gateway.spi.StoredRow;
 
 /**
- * Registers this entry in the store and reads who else registered.
+ * Registers this entry in the store and keeps who else registered.
  *
  * <p>Entries that are gone stay on the roll, which only makes everybody's share smaller. Confined
  * to the control thread, but for {@link #members}.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
-public final class MemberRoll {
-  /** Entries start together, so the list is read again soon after the start. */
-  private static final Duration FIRST_PERIOD = Duration.ofSeconds(3);
-
-  /** Entries come and go rarely. */
-  private static final Duration PERIOD = Duration.ofSeconds(15);
+public final class MemberRoll implements TableMirror {
+  /** Pause before a registration that failed is tried again. */
+  private static final Duration RETRY_PAUSE = Duration.ofSeconds(3);
 
   private final Member self;
   private final ControlStore store;
   private final ControlFormat format;
   private final ScheduledExecutorService control;
   private final EventLog log;
-  private volatile Members members;
   private final Consumer<Members> listener;
-  private boolean registered;
+  private final Map<String, Member> byName = new HashMap<>();
+  private volatile Members members;
+  private boolean registering;
+  private long ownVersion;
 
   /**
    * A roll for this entry.
@@ -62,44 +62,63 @@
     return members;
   }
 
-  void start() {
-    store.readAll(format.membersTable()).whenComplete(this::onRead);
+  @Override
+  public void replace(List<StoredRow> rows, long nowNanos) {
+    byName.clear();
+    ownVersion = 0;
+    apply(rows, nowNanos);
   }
 
-  private void onRead(RowBatch batch, Throwable failure) {
-    if (failure != null) {
-      log.event("members_unread").with("reason", String.valueOf(failure.getMessage())).write();
-      readAgain(FIRST_PERIOD);
-      return;
+  @Override
+  public void apply(List<StoredRow> rows, long nowNanos) {
+    rows.forEach(this::take);
+    if (self.equals(byName.get(self.name()))) {
+      publish();
+    } else if (!registering) {
+      register();
     }
-    List<Member> all = new ArrayList<>();
-    long ownVersion = 0;
-    for (StoredRow row : batch.rows()) {
-      MemberRow.decode(row).ifPresent(all::add);
-      if (row.key().equals(self.name())) {
-        ownVersion = row.version();
-      }
-    }
-    if (all.size() != members.all().size()) {
-      log.event("members").with("entries", all.size()).write();
+  }
+
+  private void take(StoredRow row) {
+    if (row.key().equals(self.name())) {
+      ownVersion = row.removed() ? 0 : row.version();
     }
-    if (all.contains(self)) {
-      members = new Members(self.name(), all);
-      listener.accept(members);
-      readAgain(registered ? PERIOD : FIRST_PERIOD);
-      registered = true;
+    if (row.removed()) {
+      byName.remove(row.key());
     } else {
-      register(ownVersion);
+      MemberRow.decode(row).ifPresent(m -> byName.put(row.key(), m));
     }
   }
 
-  private void register(long ownVersion) {
+  private void publish() {
+    if (byName.size() != members.all().size()) {
+      log.event("members").with("entries", byName.size()).write();
+    }
+    members = new Members(self.name(), List.copyOf(byName.values()));
+    listener.accept(members);
+  }
+
+  private void register() {
+    registering = true;
     store
         .putIf(format.membersTable(), self.name(), MemberRow.encode(self), ownVersion)
-        .whenComplete((revision, failure) -> readAgain(FIRST_PERIOD));
+        .whenComplete(
+            (revision, failure) -> {
+              if (failure == null) {
+                registering = false;
+                return;
+              }
+              log.event("registration_failed")
+                  .with("reason", String.valueOf(failure.getMessage()))
+                  .write();
+              control.schedule(this::registerAgain, RETRY_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
+            });
   }
 
-  private void readAgain(Duration pause) {
-    control.schedule(this::start, pause.toMillis(), TimeUnit.MILLISECONDS);
+  private void registerAgain() {
+    registering = false;
+    if (!self.equals(byName.get(self.name()))) {
+      register();
+    }
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberRow.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberRow.java
@@ -5,7 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
-import org.guavagw.gateway.internal.control.Members.Member;
+import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.spi.StoredRow;
 
 /** How an entry is written down in the store: data centre, host and port. Stateless. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Moment.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Moment.java
@@ -19,6 +19,13 @@
     return new Moment(nanos + time.toNanos(), wall.plus(time));
   }
 
+  /** How much later than another moment this one is at least; negative if it is earlier. */
+  Duration after(Moment other) {
+    Duration monotonic = Duration.ofNanos(nanos - other.nanos);
+    Duration byWall = Duration.between(other.wall, wall);
+    return byWall.compareTo(monotonic) < 0 ? byWall : monotonic;
+  }
+
   Duration age(Clocks clocks) {
     Duration monotonic = Duration.ofNanos(clocks.monotonic().read() - nanos);
     Duration byWall = Duration.between(wall, clocks.wall().instant());
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableMirror.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableMirror.java
@@ -14,9 +14,6 @@
   /** Notes the store's steady clock as of a monotonic time. */
   default void storeClock(long storeMillis, long nowNanos) {}
 
-  /** Notes that the store answers again after it did not. */
-  default void regained(long nowNanos) {}
-
   /** Notes that everything acknowledged before a moment has been taken. */
   default void checked(Moment moment) {}
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.spi.ControlStore;
 import org.guavagw.gateway.spi.RowBatch;
@@ -12,143 +11,207 @@
 import org.guavagw.internal.time.Clocks;
 
 /**
- * Follows one table: reads it whole, then waits for changes, and reads it whole again where history
- * was lost. Confined to the control thread.
- *
- * <p>Invariant: the mirror gets versions in ascending order; a change is taken once or is part of a
- * whole read.
+ * Follows one table at the store: reads it whole, then waits for changes, and reads it whole again
+ * where history was lost. Confined to the control thread.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class TableWatch {
   /** Pause after a failed call: short against the bounds on configuration, long against a call. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
 
+  /** Longest pause after failed calls; a store that is away is not asked more often than needed. */
+  private static final Duration MAX_RETRY_PAUSE = Duration.ofMillis(500);
+
+  /** Failures in a row after which the pause is the longest. */
+  private static final int QUICK_RETRIES = 2;
+
+  /** Pause where another table's calls find out when the store returns, which ends it early. */
+  private static final Duration PAUSE_LEFT_TO_PROBE = Duration.ofSeconds(4);
+
   /** Allowance for clocks and timers when an empty answer proves how long the store has waited. */
   private static final Duration WAIT_SLACK = Duration.ofMillis(50);
 
-  private final String table;
-  private final Duration wait;
-  private final Supplier<Duration> pause;
+  /** Wait of a call that is to be answered at once. */
+  private static final Duration NO_WAIT = Duration.ofMillis(1);
+
+  private final TableReplica replica;
+  private final WatchPace pace;
   private final ControlStore store;
-  private final TableMirror mirror;
+  private final StoreHealth health;
+  private final StoreListener listener;
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final EventLog log;
-  private long version;
-  private boolean mirrored;
-  private boolean failing;
-  private boolean closed;
-
-  /**
-   * A watch.
-   *
-   * @param wait how long the store waits for a change
-   * @param pause time after a change in which further ones gather, to be taken with one call
-   */
+  private boolean historyLost;
+  private boolean running;
+  private boolean catchingUp;
+  private int failures;
+  private long run;
+
   TableWatch(
-      String table,
-      Duration wait,
-      Supplier<Duration> pause,
+      TableReplica replica,
+      WatchPace pace,
       ControlStore store,
-      TableMirror mirror,
+      StoreHealth health,
+      StoreListener listener,
       ScheduledExecutorService control,
       Clocks clocks,
       EventLog log) {
-    this.table = table;
-    this.wait = wait;
-    this.pause = pause;
+    this.replica = replica;
+    this.pace = pace;
     this.store = store;
-    this.mirror = mirror;
+    this.health = health;
+    this.listener = listener;
     this.control = control;
     this.clocks = clocks;
     this.log = log;
   }
 
+  /** Begins to follow the table from what is known of it; does nothing if that is under way. */
   void start() {
-    if (closed) {
-      return;
+    if (!running) {
+      running = true;
+      run++;
+      catchingUp = true;
+      failures = 0;
+      call();
     }
+  }
+
+  /** Stops; answers that come later are ignored. */
+  void stop() {
+    running = false;
+    run++;
+    if (health.onSuccess(replica.table())) {
+      listener.onStoreRegained();
+    }
+  }
+
+  /** Asks at once where a failed call was to be repeated later. */
+  void retryNow() {
+    if (running && failures > 0) {
+      run++;
+      call();
+    }
+  }
+
+  private void call() {
     Moment sent = Moment.now(clocks);
-    if (mirrored) {
+    long current = run;
+    if (replica.filled() && !historyLost) {
+      Duration patience = catchingUp ? NO_WAIT : pace.patience();
       store
-          .changesSince(table, version, wait)
-          .whenComplete((batch, failure) -> onChanges(sent, batch, failure));
+          .changesSince(replica.table(), replica.version(), patience)
+          .whenComplete(
+              (batch, failure) -> {
+                if (current == run) {
+                  onChanges(sent, patience, batch, failure);
+                }
+              });
     } else {
-      store.readAll(table).whenComplete((batch, failure) -> onWholeTable(sent, batch, failure));
+      store
+          .readAll(replica.table())
+          .whenComplete(
+              (batch, failure) -> {
+                if (current == run) {
+                  onWholeTable(sent, batch, failure);
+                }
+              });
     }
   }
 
-  void close() {
-    closed = true;
+  private void callAfter(Duration pause) {
+    if (pause.isZero()) {
+      call();
+      return;
+    }
+    long current = run;
+    control.schedule(
+        () -> {
+          if (current == run) {
+            call();
+          }
+        },
+        pause.toMillis(),
+        TimeUnit.MILLISECONDS);
   }
 
   private void onWholeTable(Moment sent, RowBatch batch, Throwable failure) {
     if (failure != null) {
-      retryLater(failure);
+      onFailure(failure);
       return;
     }
-    if (batch.version() >= version) {
-      version = batch.version();
-      mirrored = true;
-      mirror.storeClock(batch.storeMillis(), nowNanos());
-      noteRegained();
-      mirror.replace(batch.rows(), nowNanos());
-      mirror.checked(sent);
-    }
-    start();
+    historyLost = false;
+    onSuccess();
+    replica.replace(batch, sent, nowNanos());
+    listener.onReplicaChanged();
+    call();
   }
 
-  private void onChanges(Moment sent, RowBatch batch, Throwable failure) {
+  private void onChanges(Moment sent, Duration patience, RowBatch batch, Throwable failure) {
     if (failure != null) {
-      retryLater(failure);
+      onFailure(failure);
       return;
     }
-    noteRegained();
-    version = Math.max(version, batch.version());
-    mirror.storeClock(batch.storeMillis(), nowNanos());
-    if (batch.rows().isEmpty()) {
-      long waited = Math.min(nowNanos() - sent.nanos(), wait.minus(WAIT_SLACK).toNanos());
-      mirror.checked(sent.plus(Duration.ofNanos(Math.max(0, waited))));
-    } else {
-      mirror.apply(batch.rows(), nowNanos());
-      mirror.checked(sent);
-    }
-    Duration gathering = batch.rows().isEmpty() ? Duration.ZERO : pause.get();
-    if (gathering.isZero()) {
-      start();
-    } else {
-      control.schedule(this::start, gathering.toMillis(), TimeUnit.MILLISECONDS);
-    }
+    onSuccess();
+    boolean empty = batch.rows().isEmpty();
+    replica.apply(batch, empty ? sent.plus(waited(sent, patience)) : sent, nowNanos());
+    listener.onReplicaChanged();
+    callAfter(empty ? Duration.ZERO : pace.gathering());
+  }
+
+  /** How long after the sending of a call its empty answer proves that nothing had changed. */
+  private Duration waited(Moment sent, Duration patience) {
+    Duration elapsed = Duration.ofNanos(nowNanos() - sent.nanos());
+    Duration proved = patience.minus(WAIT_SLACK);
+    Duration shorter = elapsed.compareTo(proved) < 0 ? elapsed : proved;
+    return shorter.isNegative() ? Duration.ZERO : shorter;
   }
 
   private long nowNanos() {
     return clocks.monotonic().read();
   }
 
-  private void noteRegained() {
-    if (failing) {
-      failing = false;
-      mirror.regained(nowNanos());
-      log.event("dependency_regained").with("dependency", "store").with("table", table).write();
+  private void onSuccess() {
+    failures = 0;
+    catchingUp = false;
+    if (health.onSuccess(replica.table())) {
+      log.event("dependency_regained")
+          .with("dependency", "store")
+          .with("table", replica.table())
+          .write();
+      listener.onStoreRegained();
     }
   }
 
-  private void retryLater(Throwable failure) {
+  private void onFailure(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     if (cause instanceof StoreFailure lost && lost.kind() == StoreFailure.Kind.HISTORY_LOST) {
-      mirrored = false;
-      log.event("history_lost").with("table", table).with("version", version).write();
-      start();
+      historyLost = true;
+      log.event("history_lost")
+          .with("table", replica.table())
+          .with("version", replica.version())
+          .write();
+      call();
       return;
     }
-    if (!failing) {
-      failing = true;
+    if (health.onFailure(replica.table())) {
       log.event("dependency_lost")
           .with("dependency", "store")
-          .with("table", table)
+          .with("table", replica.table())
           .with("reason", String.valueOf(cause.getMessage()))
           .write();
+      listener.onStoreLost();
+    }
+    failures++;
+    catchingUp = true;
+    callAfter(retryPause());
+  }
+
+  private Duration retryPause() {
+    if (health.leftToProbe(replica.table())) {
+      return PAUSE_LEFT_TO_PROBE;
     }
-    control.schedule(this::start, RETRY_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
+    return failures > QUICK_RETRIES ? MAX_RETRY_PAUSE : RETRY_PAUSE;
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Members.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
@@ -1,4 +1,4 @@
-package org.guavagw.gateway.internal.control;
+package org.guavagw.gateway.internal.peers;
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -20,6 +20,12 @@
    */
   private static final double COLD_BURST_SHARE = 0.5;
 
+  /** Up to so many entries tell all others what they see, which costs little. */
+  private static final int MAX_ALL_JUDGES = 12;
+
+  /** One of them may be gone. */
+  private static final int JUDGES_IN_DATA_CENTRE = 2;
+
   public Members {
     all = List.copyOf(all);
   }
@@ -50,6 +56,34 @@
     return takesPart ? toleratedPerSecond / parts : 0;
   }
 
+  /** The entries of this one's data centre in an order that is the same on all of them. */
+  public List<Member> rankedNeighbours() {
+    return all.stream()
+        .filter(m -> m.name().equals(self))
+        .findFirst()
+        .map(own -> ranked(own.dataCentre()))
+        .orElse(List.of());
+  }
+
+  /** Entries that gather what all have seen of a rollout: a few in each data centre. */
+  public List<Member> judges() {
+    if (all.size() <= MAX_ALL_JUDGES) {
+      return all;
+    }
+    return all.stream()
+        .map(Member::dataCentre)
+        .distinct()
+        .flatMap(dc -> ranked(dc).stream().limit(JUDGES_IN_DATA_CENTRE))
+        .toList();
+  }
+
+  private List<Member> ranked(String dataCentre) {
+    return all.stream()
+        .filter(m -> m.dataCentre().equals(dataCentre))
+        .sorted(Comparator.comparing((Member m) -> hash(m.name(), dataCentre)))
+        .toList();
+  }
+
   private static long hash(String member, String server) {
     return Hashing.murmur3_128()
         .newHasher()
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Peers.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Peers.java
@@ -2,10 +2,11 @@
 
 import com.codahale.metrics.MetricRegistry;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import org.guavagw.gateway.internal.control.Members;
-import org.guavagw.gateway.internal.control.Members.Member;
+import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.internal.peer.NettyPeerNetwork;
 import org.guavagw.internal.peer.PeerAddress;
 import org.guavagw.internal.peer.PeerAddresses;
@@ -15,6 +16,7 @@
 import org.guavagw.internal.peer.PeerMessageRegistry;
 import org.guavagw.internal.peer.PeerMessageType;
 import org.guavagw.internal.peer.PeerNetwork;
+import org.guavagw.internal.peer.PeerRequestHandler;
 import org.guavagw.internal.peer.PeerSettings;
 
 /**
@@ -23,16 +25,20 @@
  * <p>Messages may be lost: each carries the whole of what it is about, so that the next one makes
  * good for it. Thread-safe; handlers run on the traffic thread.
  */
-public final class Peers implements AutoCloseable {
+public final class Peers implements PeerRequests, AutoCloseable {
   private static final List<PeerMessageType<?>> TYPES =
       List.of(
           new PeerMessageType<>("evidence", EvidenceReport.class),
-          new PeerMessageType<>("work", WorkReport.class));
+          new PeerMessageType<>("rejection", Rejection.class),
+          new PeerMessageType<>("work", WorkReport.class),
+          new PeerMessageType<>("replica-query", ReplicaQuery.class),
+          new PeerMessageType<>("replica-answer", ReplicaAnswer.class));
 
   private final PeerAddresses addresses = new PeerAddresses();
   private final PeerNetwork network;
   private final String dataCentre;
   private volatile List<Member> others = List.of();
+  private volatile List<Member> judges = List.of();
 
   /**
    * Starts to listen for peers.
@@ -62,6 +68,7 @@
   /** Takes who the entries are. */
   public void onMembers(Members members) {
     others = members.all().stream().filter(m -> !m.name().equals(members.self())).toList();
+    judges = members.judges().stream().filter(m -> !m.name().equals(members.self())).toList();
     others.forEach(m -> addresses.put(m.name(), new PeerAddress(m.host(), m.port())));
   }
 
@@ -70,19 +77,39 @@
     network.onMessage(type, handler);
   }
 
+  /** Sets the handler of a type of request. */
+  public <M extends PeerMessage> void onRequest(Class<M> type, PeerRequestHandler<M> handler) {
+    network.onRequest(type, handler);
+  }
+
+  @Override
+  public CompletableFuture<PeerMessage> request(
+      String entry, PeerMessage message, Duration timeout) {
+    return network.request(entry, message, timeout);
+  }
+
+  /** Sends to the entries that judge rollouts. */
+  public void toJudges(PeerMessage message) {
+    judges.forEach(m -> send(m.name(), message));
+  }
+
   /** Sends to every other entry. */
   public void toAll(PeerMessage message) {
-    others.forEach(m -> send(m, message));
+    others.forEach(m -> send(m.name(), message));
   }
 
-  /** Sends to the other entries of this data centre. */
-  public void toNeighbours(PeerMessage message) {
-    others.stream().filter(m -> m.dataCentre().equals(dataCentre)).forEach(m -> send(m, message));
+  /** The other entries of this data centre. */
+  public List<String> neighbours() {
+    return others.stream()
+        .filter(m -> m.dataCentre().equals(dataCentre))
+        .map(Member::name)
+        .toList();
   }
 
-  private void send(Member member, PeerMessage message) {
+  /** Sends to one entry. */
+  public void send(String entry, PeerMessage message) {
     // A failure is counted by the network; the next message makes good for this one.
-    var unused = network.send(member.name(), message);
+    var unused = network.send(entry, message);
   }
 
   @Override
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
@@ -89,6 +89,11 @@
     return new WorkReport(servers);
   }
 
+  /** What the other entries have under way, one of them left out. */
+  WorkReport neighboursWithout(String entry) {
+    return neighbours.without(entry);
+  }
+
   /** Requests of this entry that are under way at a backend server. */
   public int running(BackendServer server) {
     return load(server).running();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/NeighbourWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/NeighbourWork.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.guavagw.gateway.internal.peers.WorkReport;
 import org.guavagw.gateway.internal.peers.WorkReport.ServerWork;
 
@@ -13,7 +14,7 @@
  */
 final class NeighbourWork {
   /** Reports come several times a second; an entry without any for this long has stopped. */
-  private static final Duration MAX_AGE = Duration.ofMillis(1500);
+  static final Duration MAX_AGE = Duration.ofMillis(1500);
 
   private static final ServerWork NONE = new ServerWork(0, 0);
 
@@ -27,22 +28,23 @@
 
   void sumUp(long nowNanos) {
     reports.values().removeIf(r -> nowNanos - r.nanos() > MAX_AGE.toNanos());
-    Map<String, ServerWork> next = new HashMap<>();
-    for (Received received : reports.values()) {
-      received
-          .report()
-          .servers()
-          .forEach((incarnation, work) -> next.merge(incarnation, work, NeighbourWork::plus));
-    }
-    sums = next;
+    sums = sumOf(name -> true).servers();
   }
 
-  ServerWork at(String incarnation) {
-    return sums.getOrDefault(incarnation, NONE);
+  /** What all entries but one have under way. */
+  WorkReport without(String entry) {
+    return sumOf(name -> !name.equals(entry));
+  }
+
+  private WorkReport sumOf(Predicate<String> included) {
+    return reports.entrySet().stream()
+        .filter(e -> included.test(e.getKey()))
+        .map(e -> e.getValue().report())
+        .reduce(new WorkReport(Map.of()), WorkReport::plus);
   }
 
-  private static ServerWork plus(ServerWork a, ServerWork b) {
-    return new ServerWork(a.running() + b.running(), a.waitingMillis() + b.waitingMillis());
+  ServerWork at(String incarnation) {
+    return sums.getOrDefault(incarnation, NONE);
   }
 
   /** A report and when it came. Immutable. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -16,15 +16,17 @@
 import org.guavagw.gateway.internal.cascade.ModelPolicy;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.control.Knowledge;
-import org.guavagw.gateway.internal.control.Members;
 import org.guavagw.gateway.internal.limits.ColdGate;
 import org.guavagw.gateway.internal.limits.RepeatAllowance;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.peers.Hubs;
+import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Peers;
 import org.guavagw.gateway.internal.peers.WorkReport;
 import org.guavagw.gateway.internal.placement.AffinityPlacer;
 import org.guavagw.gateway.internal.placement.LoadBook;
+import org.guavagw.gateway.internal.placement.WorkExchange;
 import org.guavagw.gateway.internal.rollout.RolloutDirector;
 import org.guavagw.gateway.internal.rollout.VersionGate;
 import org.guavagw.gateway.model.BackendServer;
@@ -46,12 +48,8 @@
    */
   private static final double BOUND_SHARE = 0.7;
 
-  /** How often entries of a data centre tell one another what they have under way. */
-  private static final Duration REPORT_PERIOD = Duration.ofMillis(100);
-
   private final Knowledge knowledge;
   private final Supplier<Members> members;
-  private final Peers peers;
   private final Ticker ticker;
   private final LoadBook loads = new LoadBook();
   private final BackendPool pool;
@@ -60,7 +58,6 @@
   private final EventLoop loop;
   private final InFlight inFlight = new InFlight();
   private final Shutdown shutdown;
-  private WorkReport told = new WorkReport(Map.of());
   private final Closer closer = new Closer();
 
   /** Starts to listen for callers. */
@@ -75,10 +72,10 @@
       EventLog log,
       GatewayMetrics metrics,
       Peers peers,
+      Hubs hubs,
       Supplier<Members> members) {
     this.knowledge = knowledge;
     this.members = members;
-    this.peers = peers;
     this.shutdown = new Shutdown(ticker);
     this.ticker = ticker;
     this.loop = transport.group().next();
@@ -114,8 +111,10 @@
     this.front = closer.register(new FrontServer(transport, settings.callerAddress(), parts));
     long period = TIDY_PERIOD.toMillis();
     loop.scheduleAtFixedRate(this::tidy, period, period, TimeUnit.MILLISECONDS);
-    long report = REPORT_PERIOD.toMillis();
-    loop.scheduleAtFixedRate(this::tellNeighbours, report, report, TimeUnit.MILLISECONDS);
+    WorkExchange exchange = new WorkExchange(loads, hubs, peers::neighbours, peers::send);
+    long report = WorkExchange.PERIOD.toMillis();
+    loop.scheduleAtFixedRate(
+        () -> exchange.tick(ticker.read()), report, report, TimeUnit.MILLISECONDS);
     peers.onMessage(
         WorkReport.class,
         (from, message) -> loads.onReport(from.memberId(), message, ticker.read()));
@@ -157,14 +156,6 @@
     loads.retain(incarnations, ticker.read());
   }
 
-  private void tellNeighbours() {
-    WorkReport report = loads.report();
-    if (!report.equals(told)) {
-      told = report;
-      peers.toNeighbours(report);
-    }
-  }
-
   /** Address that callers connect to. */
   public InetSocketAddress callerAddress() {
     return front.address();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutDirector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutDirector.java
@@ -13,6 +13,7 @@
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.peers.EvidenceReport;
 import org.guavagw.gateway.internal.peers.Peers;
+import org.guavagw.gateway.internal.peers.Rejection;
 import org.guavagw.gateway.model.RolloutOrder;
 import org.guavagw.gateway.model.RolloutState;
 import org.guavagw.gateway.model.RolloutStatus;
@@ -32,7 +33,7 @@
   /** How often rollouts are looked at: a small part of the time to take a bad version back. */
   private static final Duration PERIOD = Duration.ofMillis(250);
 
-  /** How often entries tell one another what they saw where nothing went badly. */
+  /** How often entries tell the judges what they saw where nothing went badly. */
   private static final Duration REPORT_PERIOD = Duration.ofSeconds(2);
 
   /** Spreads the reports that begin a rollout over less than a second. */
@@ -72,6 +73,7 @@
   public void start() {
     long period = PERIOD.toMillis();
     peers.onMessage(EvidenceReport.class, this::onReport);
+    peers.onMessage(Rejection.class, this::onRejection);
     traffic.scheduleAtFixedRate(this::review, period, period, TimeUnit.MILLISECONDS);
   }
 
@@ -141,7 +143,7 @@
       report(trial, row, RolloutState.RUNNING, knowledge.storeMillis());
       return;
     }
-    tellOthers(trial);
+    tellJudges(trial);
     judge(trial);
     long started = answer.get().startedMillis();
     if (trial.rejected) {
@@ -151,12 +153,13 @@
     }
   }
 
-  private void tellOthers(Trial trial) {
+  private void tellJudges(Trial trial) {
     long now = knowledge.storeMillis();
     boolean due = now - trial.toldMillis >= REPORT_PERIOD.toMillis();
     if (trial.evidence.takeWorse() || (due && trial.evidence.takeChanged())) {
       trial.toldMillis = now;
-      peers.toAll(new EvidenceReport(trial.order.service(), trial.revision, trial.evidence.own()));
+      peers.toJudges(
+          new EvidenceReport(trial.order.service(), trial.revision, trial.evidence.own()));
     }
   }
 
@@ -170,11 +173,26 @@
             });
   }
 
+  private void onRejection(PeerIdentity from, Rejection rejection) {
+    underWay(rejection.service())
+        .filter(t -> t.revision == rejection.revision() && !t.rejected)
+        .ifPresent(
+            t -> {
+              t.rejected = true;
+              log.event("rollout_rejected")
+                  .with("service", rejection.service())
+                  .with("to", t.order.toVersion())
+                  .with("by", from.memberId())
+                  .write();
+            });
+  }
+
   private void judge(Trial trial) {
     if (trial.rejected || !trial.evidence.alarming()) {
       return;
     }
     trial.rejected = true;
+    peers.toAll(new Rejection(trial.order.service(), trial.revision));
     log.event("rollout_rejected")
         .with("service", trial.order.service())
         .with("to", trial.order.toVersion())
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SampleFormat.java
@@ -0,0 +1,46 @@
+package org.guavagw.gateway.internal.control;
+
+import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.model.RolloutState;
+import org.guavagw.gateway.spi.ControlFormat;
+import org.guavagw.gateway.spi.ControlRow;
+import org.guavagw.gateway.spi.StoredRow;
+
+/** Rows of backend servers whose keys are their ids, whatever the rows hold. Stateless. */
+final class SampleFormat implements ControlFormat {
+  @Override
+  public String ordersTable() {
+    return "orders";
+  }
+
+  @Override
+  public String backendsTable() {
+    return "backends";
+  }
+
+  @Override
+  public String statusTable() {
+    return "status";
+  }
+
+  @Override
+  public String membersTable() {
+    return "members";
+  }
+
+  @Override
+  public ControlRow decode(String table, StoredRow row, long nowNanos) {
+    return new ControlRow.Backend(Samples.server(row.key(), "dc1", "v1"));
+  }
+
+  @Override
+  public String rolloutStatusKey(String service) {
+    return service;
+  }
+
+  @Override
+  public byte[] rolloutStatus(
+      String service, String toVersion, RolloutState rolloutState, long startedMillis) {
+    return new byte[0];
+  }
+}
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ScriptedStore.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ScriptedStore.java
@@ -69,5 +69,9 @@
 
   /** A call that was made. */
   record Call(
-      String kind, String table, long since, Duration patience, CompletableFuture<RowBatch> answer) {}
+      String kind,
+      String table,
+      long since,
+      Duration patience,
+      CompletableFuture<RowBatch> answer) {}
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TableWatchTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TableWatchTest.java
@@ -6,8 +6,10 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.spi.StoreFailure;
 import org.guavagw.gateway.spi.StoredRow;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,21 +23,28 @@
   private final ScriptedStore store = new ScriptedStore();
   private final EmbeddedChannel control = new EmbeddedChannel();
   private final EventLog log = new EventLog("test", InstantSource.system(), System.out);
+  private final StoreHealth health = new StoreHealth("probe");
+  private TableWatch watch;
   private Moment checked;
 
   @BeforeEach
   void start() {
-    TableWatch watch =
+    control.freezeTime();
+    WatchPace pace = new WatchPace(() -> WAIT, () -> Duration.ZERO);
+    TableReplica replica = new TableReplica(TABLE, new CheckedMirror());
+    watch =
         new TableWatch(
-            TABLE,
-            WAIT,
-            () -> Duration.ZERO,
+            replica,
+            pace,
             store,
-            new CheckedMirror(),
+            health,
+            new NoListener(),
             control.eventLoop(),
             clock.clocks(),
             log);
     watch.start();
+    store.answer(TABLE, 7);
+    store.answer(TABLE, 7);
   }
 
   @AfterEach
@@ -45,7 +54,6 @@
 
   @Test
   void shouldCountTheWaitOfAnEmptyAnswerAsTimeInWhichNothingChanged() {
-    store.answer(TABLE, 7);
     clock.advance(WAIT);
     store.answer(TABLE, 7);
 
@@ -54,13 +62,53 @@
 
   @Test
   void shouldTakeAnAnswerAsOldAsItsQuestionAfterASuspension() {
-    store.answer(TABLE, 7);
     clock.stepWall(Duration.ofSeconds(6));
     store.answer(TABLE, 7);
 
     assertThat(checked.age(clock.clocks())).isEqualTo(Duration.ofSeconds(6));
   }
 
+  @Test
+  void shouldAskAgainSoonAfterAFailure() {
+    store.fail(TABLE, StoreFailure.Kind.REFUSED);
+    pass(Duration.ofMillis(300));
+
+    assertThat(store.hasOpen(TABLE)).isTrue();
+  }
+
+  @Test
+  void shouldLeaveItToTheProbeToFindOutThatTheStoreIsBack() {
+    health.onFailure("probe");
+    store.fail(TABLE, StoreFailure.Kind.REFUSED);
+    pass(Duration.ofSeconds(3));
+    assertThat(store.hasOpen(TABLE)).isFalse();
+
+    watch.retryNow();
+
+    assertThat(store.hasOpen(TABLE)).isTrue();
+  }
+
+  @Test
+  void shouldNotWaitForChangesInTheFirstCallAfterAFailure() {
+    store.fail(TABLE, StoreFailure.Kind.NO_ANSWER);
+    pass(Duration.ofMillis(300));
+
+    assertThat(store.open(TABLE).patience()).isLessThan(Duration.ofMillis(10));
+  }
+
+  @Test
+  void shouldReadTheWholeTableWhereHistoryWasLost() {
+    store.fail(TABLE, StoreFailure.Kind.HISTORY_LOST);
+
+    assertThat(store.open(TABLE).kind()).isEqualTo("read");
+  }
+
+  private void pass(Duration time) {
+    clock.advance(time);
+    control.advanceTimeBy(time.toMillis(), TimeUnit.MILLISECONDS);
+    control.runScheduledPendingTasks();
+  }
+
   /** Keeps the last check. */
   private final class CheckedMirror implements TableMirror {
     @Override
@@ -78,4 +126,22 @@
       checked = moment;
     }
   }
+
+  /** Hears nothing. */
+  private static final class NoListener implements StoreListener {
+    @Override
+    public void onReplicaChanged() {
+      // nobody follows this entry
+    }
+
+    @Override
+    public void onStoreLost() {
+      // nothing depends on it here
+    }
+
+    @Override
+    public void onStoreRegained() {
+      // nothing depends on it here
+    }
+  }
 }
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/HubsTest.java
@@ -0,0 +1,73 @@
+package org.guavagw.gateway.internal.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.guavagw.gateway.internal.ManualClock;
+import org.guavagw.gateway.internal.peers.Members.Member;
+import org.junit.jupiter.api.Test;
+
+class HubsTest {
+  private final ManualClock clock = new ManualClock();
+
+  @Test
+  void shouldHaveNoHubAmongAFewEntries() {
+    for (Member member : entries(3)) {
+      assertThat(hubsOf(member, entries(3)).current()).isEmpty();
+    }
+  }
+
+  @Test
+  void shouldAgreeOnOneHubAmongManyEntries() {
+    List<Member> all = entries(20);
+
+    List<Optional<String>> hubs = all.stream().map(m -> hubsOf(m, all).current()).toList();
+
+    assertThat(hubs.stream().filter(Optional::isEmpty)).hasSize(1);
+    assertThat(hubs.stream().flatMap(Optional::stream).distinct()).hasSize(1);
+  }
+
+  @Test
+  void shouldTakeTheNextEntryWhileTheHubIsAvoided() {
+    List<Member> all = entries(20);
+    Hubs hubs = hubsOf(followerAmong(all), all);
+    String first = hubs.current().orElseThrow();
+
+    hubs.avoid(first);
+    assertThat(hubs.current()).isNotEqualTo(Optional.of(first));
+
+    clock.advance(Duration.ofSeconds(30));
+    assertThat(hubs.current()).contains(first);
+  }
+
+  @Test
+  void shouldChooseHubsInItsOwnDataCentreOnly() {
+    List<Member> all = entries(20);
+    all.add(new Member("elsewhere", "dc2", "127.0.0.1", 1));
+
+    assertThat(hubsOf(all.get(20), all).current()).isEmpty();
+  }
+
+  private Member followerAmong(List<Member> all) {
+    return all.stream()
+        .filter(m -> hubsOf(m, all).current().isPresent())
+        .reduce((a, b) -> b)
+        .orElseThrow();
+  }
+
+  private Hubs hubsOf(Member self, List<Member> all) {
+    Members members = new Members(self.name(), all);
+    return new Hubs(() -> members, clock);
+  }
+
+  private static List<Member> entries(int count) {
+    List<Member> all = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      all.add(new Member("entry-" + i, "dc1", "127.0.0.1", i + 1));
+    }
+    return all;
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/MembersTest.java
@@ -0,0 +1,31 @@
+package org.guavagw.gateway.internal.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.guavagw.gateway.internal.peers.Members.Member;
+import org.junit.jupiter.api.Test;
+
+class MembersTest {
+  @Test
+  void shouldLetAllOfAFewEntriesJudge() {
+    assertThat(members(2, 4).judges()).hasSize(8);
+  }
+
+  @Test
+  void shouldLetTwoEntriesOfEachDataCentreJudgeWhereThereAreMany() {
+    assertThat(members(4, 20).judges()).hasSize(8);
+    assertThat(members(4, 20).judges().stream().map(Member::dataCentre).distinct()).hasSize(4);
+  }
+
+  private static Members members(int dataCentres, int entriesInEach) {
+    List<Member> all = new ArrayList<>();
+    for (int dc = 0; dc < dataCentres; dc++) {
+      for (int i = 0; i < entriesInEach; i++) {
+        all.add(new Member("entry-" + dc + "-" + i, "dc" + dc, "127.0.0.1", i + 1));
+      }
+    }
+    return new Members("entry-0-0", all);
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
@@ -0,0 +1,43 @@
+package org.guavagw.gateway.internal.peers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
+import org.guavagw.gateway.spi.StoredRow;
+import org.guavagw.internal.peer.PeerCodec;
+import org.junit.jupiter.api.Test;
+
+class PeerMessagesTest {
+  private final PeerCodec codec = new PeerCodec();
+
+  @Test
+  void shouldCarryChangesOfTables() {
+    byte[] value = "{}".getBytes(StandardCharsets.UTF_8);
+    TableUpdate update =
+        new TableUpdate("orders", 7, true, List.of(new StoredRow("config", value, 6, false)));
+    ReplicaAnswer answer = new ReplicaAnswer(-5_000_000_000L, 12, true, List.of(update));
+
+    ReplicaAnswer read = codec.decode(codec.encode(answer), ReplicaAnswer.class);
+
+    assertThat(read).usingRecursiveComparison().isEqualTo(answer);
+  }
+
+  @Test
+  void shouldCarryVersionsOfTables() {
+    ReplicaQuery query = new ReplicaQuery(Map.of("orders", 1L, "servers", 1L << 40));
+
+    assertThat(codec.decode(codec.encode(query), ReplicaQuery.class)).isEqualTo(query);
+  }
+
+  @Test
+  void shouldCarryWorkAndRejections() {
+    WorkReport report = new WorkReport(Map.of("w1", new WorkReport.ServerWork(2, 3.5)));
+    Rejection rejection = new Rejection("engine", 9);
+
+    assertThat(codec.decode(codec.encode(report), WorkReport.class)).isEqualTo(report);
+    assertThat(codec.decode(codec.encode(rejection), Rejection.class)).isEqualTo(rejection);
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkExchangeTest.java
@@ -0,0 +1,122 @@
+package org.guavagw.gateway.internal.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.guavagw.gateway.internal.ManualClock;
+import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.peers.Hubs;
+import org.guavagw.gateway.internal.peers.Members;
+import org.guavagw.gateway.internal.peers.Members.Member;
+import org.guavagw.gateway.model.BackendServer;
+import org.junit.jupiter.api.Test;
+
+class WorkExchangeTest {
+  private static final BackendServer SERVER = Samples.server("w1", "dc1", "v1");
+
+  private final ManualClock clock = new ManualClock();
+  private final List<Member> all = new ArrayList<>();
+  private final List<Entry> entries = new ArrayList<>();
+  private int messages;
+
+  @Test
+  void shouldTellEveryEntryWhatTheOthersHaveUnderWay() {
+    start(3);
+    entries.forEach(e -> e.send(1));
+
+    run(Duration.ofSeconds(1));
+
+    entries.forEach(e -> assertThat(e.loads.totalRunning(SERVER)).isEqualTo(3));
+  }
+
+  @Test
+  void shouldTellEveryEntryOfManyThroughTheirHub() {
+    start(20);
+    entries.forEach(e -> e.send(1));
+
+    run(Duration.ofSeconds(1));
+
+    entries.forEach(e -> assertThat(e.loads.totalRunning(SERVER)).isEqualTo(20));
+  }
+
+  @Test
+  void shouldSendMessagesInProportionToTheNumberOfEntries() {
+    start(20);
+    for (int i = 0; i < 10; i++) {
+      entries.forEach(e -> e.send(1));
+      run(WorkExchange.PERIOD);
+    }
+
+    // one report to the hub and one from it for each entry, at most five times a second
+    assertThat(messages).isLessThanOrEqualTo(2 * 19 * 5 + 2 * 19);
+  }
+
+  @Test
+  void shouldKeepWorkThatTakesLongInMind() {
+    start(3);
+    entries.get(0).send(1);
+
+    run(Duration.ofSeconds(10));
+
+    assertThat(entries.get(2).loads.totalRunning(SERVER)).isEqualTo(1);
+  }
+
+  @Test
+  void shouldForgetAnEntryThatFellSilent() {
+    start(3);
+    entries.get(0).send(1);
+    run(Duration.ofSeconds(1));
+    entries.remove(0);
+
+    run(Duration.ofSeconds(3));
+
+    assertThat(entries.get(1).loads.totalRunning(SERVER)).isZero();
+  }
+
+  private void start(int count) {
+    for (int i = 0; i < count; i++) {
+      all.add(new Member("entry-" + i, "dc1", "127.0.0.1", i + 1));
+    }
+    all.forEach(m -> entries.add(new Entry(m.name())));
+  }
+
+  private void run(Duration time) {
+    for (long t = 0; t < time.toMillis(); t += WorkExchange.PERIOD.toMillis()) {
+      clock.advance(WorkExchange.PERIOD);
+      entries.forEach(e -> e.loads.retain(Set.of(SERVER.incarnation()), clock.read()));
+      entries.forEach(e -> e.exchange.tick(clock.read()));
+    }
+  }
+
+  /** One entry with its book of loads. */
+  private final class Entry {
+    private final String name;
+    private final LoadBook loads = new LoadBook();
+    private final WorkExchange exchange;
+
+    Entry(String name) {
+      this.name = name;
+      Members members = new Members(name, all);
+      this.exchange =
+          new WorkExchange(
+              loads,
+              new Hubs(() -> members, clock),
+              () -> all.stream().map(Member::name).filter(n -> !n.equals(name)).toList(),
+              (to, report) -> {
+                messages++;
+                entries.stream()
+                    .filter(e -> e.name.equals(to))
+                    .forEach(e -> e.loads.onReport(name, report, clock.read()));
+              });
+    }
+
+    void send(int requests) {
+      for (int i = 0; i < requests; i++) {
+        var unused = loads.onSent(SERVER, "m", List.of(), 100, 1000);
+      }
+    }
+  }
+}
