Write the lines that the log's writer has taken before a process ends

Cause: closing the log interrupted its writer and wrote the waiting lines without waiting for the batch that the writer held, which was then lost or came late; the last lines of a shutdown could be missing. Seen as a failure of EventLogTest.shouldNotSampleFailuresAwayForWhatWentWell, once in about ten runs on a busy machine: the line with the count was not there yet. Change: close waits for the writer, at most half a second.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/logging/EventLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/logging/EventLog.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
@@ -25,6 +26,9 @@
   /** Lines that may wait; a few seconds of a busy gateway. */
   private static final int MAX_WAITING_LINES = 4096;
 
+  /** Longest wait for the last lines to be written: a small part of a shutdown. */
+  private static final Duration CLOSING_PATIENCE = Duration.ofMillis(500);
+
   private static final JsonFactory JSON = new JsonFactory();
 
   private final String node;
@@ -75,9 +79,11 @@
     }
   }
 
+  /** Writes what waits; gives up on a reader that does not read. */
   @Override
   public void close() {
     writer.interrupt();
+    awaitWriter();
     StringBuilder rest = new StringBuilder();
     for (String next = lines.poll(); next != null; next = lines.poll()) {
       rest.append(next);
@@ -86,6 +92,15 @@
     out.flush();
   }
 
+  /** The lines that the writer has taken come before those that still wait. */
+  private void awaitWriter() {
+    try {
+      writer.join(CLOSING_PATIENCE.toMillis());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** A line in the making. Used by one thread. */
   public final class Line {
     private final StringWriter text = new StringWriter(256);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/logging/EventLogTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/logging/EventLogTest.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.ByteArrayOutputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.concurrent.CountDownLatch;
@@ -39,6 +41,29 @@
     assertThat(text).contains("\"left_out\":700").contains("\"failed\":\"yes\"");
   }
 
+  @Test
+  void shouldWriteLinesThatTheWriterHasTakenBeforeItIsClosed() throws InterruptedException {
+    CountDownLatch writing = new CountDownLatch(1);
+    PrintStream slow =
+        new PrintStream(bytes, true, StandardCharsets.UTF_8) {
+          @Override
+          public void print(Object text) {
+            if (writing.getCount() > 0) {
+              writing.countDown();
+              Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(100));
+            }
+            super.print(text);
+          }
+        };
+    EventLog log = new EventLog("n1", clock, slow);
+    log.event("started").write();
+    writing.await();
+
+    log.close();
+
+    assertThat(bytes.toString(StandardCharsets.UTF_8)).contains("started");
+  }
+
   @Test
   void shouldNeverBlockItsCallersWhereNobodyReads() throws InterruptedException {
     CountDownLatch never = new CountDownLatch(1);
