Let callers connect before all else in a start, and start faster

Change: the socket of callers is opened first, from an environment variable that the platform fills in, by the JDK alone; its connections are accepted once the first configuration is known, at the latest after 0.8 s. Ruled out: one jar instead of 60, no locale data of CLDR, concatenation without invokedynamic: no difference. NIO has no TCP_USER_TIMEOUT; silence is found by the keep-alive, the silence policy and the time-outs of calls.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.internal.peers.Peers;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
+import org.guavagw.gateway.internal.relay.FrontServer;
 import org.guavagw.gateway.internal.relay.ProbeServer;
 import org.guavagw.gateway.internal.relay.ProbeServer.ProbeAnswer;
 import org.guavagw.gateway.internal.relay.Relay;
@@ -45,13 +46,15 @@
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final Closer closer = new Closer();
 
-  private Gateway(GatewaySettings settings, GatewayAdapter adapter, EventLog log) {
+  private Gateway(
+      GatewaySettings settings, GatewayAdapter adapter, CallerSocket callers, EventLog log) {
     this.settings = settings;
     this.log = log;
     Clocks clocks = Clocks.system();
     Ticker ticker = clocks.monotonic();
     GatewayMetrics metrics = new GatewayMetrics();
     Transport traffic = closer.register(new Transport("traffic"));
+    FrontServer front = closer.register(new FrontServer(traffic, callers));
     Transport control = closer.register(new Transport("control"));
     EventLoop trafficLoop = traffic.group().next();
     EventLoop controlLoop = control.group().next();
@@ -83,6 +86,7 @@
             new Relay(
                 settings,
                 traffic,
+                front,
                 knowledge,
                 rollouts,
                 new ConfidenceCascade(settings.acceptedConfidence()),
@@ -113,12 +117,13 @@
     metrics.gauge("log_lines_dropped", log::droppedLines);
   }
 
-  /** Starts a gateway. */
-  public static Gateway start(GatewaySettings settings, GatewayAdapter adapter, EventLog log) {
-    Gateway gateway = new Gateway(settings, adapter, log);
+  /** Starts a gateway that takes the socket of its callers over. */
+  public static Gateway start(
+      GatewaySettings settings, GatewayAdapter adapter, CallerSocket callers, EventLog log) {
+    Gateway gateway = new Gateway(settings, adapter, callers, log);
     log.event("started")
         .with("data_centre", settings.dataCentre())
-        .with("callers", settings.callerAddress().toString())
+        .with("callers", gateway.callerAddress().toString())
         .write();
     return gateway;
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -9,7 +9,6 @@
  *
  * @param nodeName name of this entry in logs
  * @param dataCentre data centre of this entry
- * @param callerAddress where callers connect
  * @param readyAddress where the balancer asks whether this entry is ready
  * @param readyPath path of that question
  * @param metricsAddress where metrics are served
@@ -27,7 +26,6 @@
 public record GatewaySettings(
     String nodeName,
     String dataCentre,
-    InetSocketAddress callerAddress,
     InetSocketAddress readyAddress,
     String readyPath,
     InetSocketAddress metricsAddress,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Knowledge.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Knowledge.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.control;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.guavagw.internal.time.Clocks;
 
@@ -18,6 +19,7 @@
   private volatile long storeOffsetMillis = UNKNOWN_OFFSET;
   private volatile ControlView view = ControlView.EMPTY;
   private volatile Moment checked;
+  private final CompletableFuture<Void> firstComplete = new CompletableFuture<>();
 
   /** Nothing known yet. */
   public Knowledge(Clocks clocks) {
@@ -51,8 +53,16 @@
         storeOffsetMillis == UNKNOWN_OFFSET ? offset : Math.max(offset, storeOffsetMillis);
   }
 
+  /** Completes when requests can be decided for the first time. */
+  public CompletableFuture<Void> firstComplete() {
+    return firstComplete;
+  }
+
   void publish(ControlView next) {
     view = next;
+    if (complete()) {
+      firstComplete.complete(null);
+    }
   }
 
   /** Notes that the orders were the newest at a moment. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/FrontServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/FrontServer.java
@@ -7,10 +7,11 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.guavagw.gateway.CallerSocket;
 
-/** Listens for callers. Thread-safe. */
+/** Accepts callers, from the moment on at which it is opened. Thread-safe. */
 @SuppressWarnings("FutureReturnValueIgnored")
-final class FrontServer implements AutoCloseable {
+public final class FrontServer implements AutoCloseable {
   private static final int MAX_INITIAL_LINE = 8192;
   private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -19,13 +20,14 @@
       new WriteBufferWaterMark(32 * 1024, 64 * 1024);
 
   private final Channel channel;
-  private final FrontParts parts;
+  private volatile FrontParts parts;
 
-  FrontServer(Transport transport, InetSocketAddress address, FrontParts parts) {
-    this.parts = parts;
+  /** Takes the socket, whose connections wait until the server is opened. */
+  public FrontServer(Transport transport, CallerSocket socket) {
     this.channel =
         transport
-            .serverBootstrap()
+            .serverBootstrap(socket.channel())
+            .option(ChannelOption.AUTO_READ, false)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
             .childHandler(
                 new ChannelInitializer<Channel>() {
@@ -38,18 +40,28 @@
                         .addLast(new CallerConnection(parts));
                   }
                 })
-            .bind(address)
+            .register()
             .syncUninterruptibly()
             .channel();
   }
 
+  /** Begins to accept connections; does nothing if it does so already. */
+  void open(FrontParts used) {
+    if (parts == null) {
+      parts = used;
+      channel.config().setAutoRead(true);
+    }
+  }
+
   InetSocketAddress address() {
     return (InetSocketAddress) channel.localAddress();
   }
 
   /** Closes connections on which nothing is under way. Traffic thread only. */
   void closeIdleConnections() {
-    List.copyOf(parts.connections()).forEach(CallerConnection::closeIfIdle);
+    if (parts != null) {
+      List.copyOf(parts.connections()).forEach(CallerConnection::closeIfIdle);
+    }
   }
 
   @Override
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -40,6 +40,12 @@
 /** The traffic side of the gateway. Thread-safe; its parts live on the traffic thread. */
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class Relay implements AutoCloseable {
+  /**
+   * How long callers wait during a start for the first configuration, before they are told to come
+   * back; many give an entry up that has not read their request for a second.
+   */
+  private static final Duration LONGEST_HOLD = Duration.ofMillis(800);
+
   /** How often what is known of backend servers that are gone is dropped. */
   private static final Duration TIDY_PERIOD = Duration.ofSeconds(1);
 
@@ -60,10 +66,11 @@
   private final Shutdown shutdown;
   private final Closer closer = new Closer();
 
-  /** Starts to listen for callers. */
+  /** Begins to serve callers as soon as enough is known to do so. */
   public Relay(
       GatewaySettings settings,
       Transport transport,
+      FrontServer front,
       Knowledge knowledge,
       RolloutDirector rollouts,
       ModelPolicy models,
@@ -108,7 +115,9 @@
     Set<CallerConnection> connections = new HashSet<>();
     FrontParts parts =
         new FrontParts(exchanges, this::limits, connections, shutdown, inFlight, log);
-    this.front = closer.register(new FrontServer(transport, settings.callerAddress(), parts));
+    this.front = front;
+    knowledge.firstComplete().thenRunAsync(() -> front.open(parts), loop);
+    loop.schedule(() -> front.open(parts), LONGEST_HOLD.toMillis(), TimeUnit.MILLISECONDS);
     long period = TIDY_PERIOD.toMillis();
     loop.scheduleAtFixedRate(this::tidy, period, period, TimeUnit.MILLISECONDS);
     WorkExchange exchange = new WorkExchange(loads, hubs, peers::neighbours, peers::send);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Transport.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Transport.java
@@ -3,23 +3,22 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.PooledByteBufAllocator;
+import io.netty.channel.ChannelFactory;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.epoll.Epoll;
-import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.channel.epoll.EpollEventLoopGroup;
-import io.netty.channel.epoll.EpollServerSocketChannel;
-import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.channels.ServerSocketChannel;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import jdk.net.ExtendedSocketOptions;
 
 /**
- * One event loop and the sockets on it: native epoll where it can be had, which also finds
- * connections that went silent, else NIO. Thread-safe.
+ * One event loop and the sockets on it, with keep-alive probes that find connections that went
+ * silent. Thread-safe.
  */
 public final class Transport implements AutoCloseable {
   /**
@@ -31,19 +30,14 @@
   private static final int KEEPALIVE_INTERVAL_SECONDS = 1;
   private static final int KEEPALIVE_PROBES = 2;
 
-  /** Bytes that stay unacknowledged for this long break the connection. */
-  private static final int UNACKNOWLEDGED_LIMIT_MILLIS = 2500;
+  /** Connections that may wait to be accepted. */
+  private static final int ACCEPT_BACKLOG = 256;
 
-  /** Connections that may wait to be accepted: a burst of callers that return together. */
-  private static final int ACCEPT_BACKLOG = 1024;
-
-  private final boolean epoll = Epoll.isAvailable();
   private final EventLoopGroup group;
 
   /** A transport with a thread of this name. */
   public Transport(String threadName) {
-    DefaultThreadFactory threads = new DefaultThreadFactory(threadName, true);
-    this.group = epoll ? new EpollEventLoopGroup(1, threads) : new NioEventLoopGroup(1, threads);
+    this.group = new NioEventLoopGroup(1, new DefaultThreadFactory(threadName, true));
   }
 
   /** The event loop. */
@@ -53,28 +47,32 @@
 
   /** For connections that this process opens. */
   public Bootstrap clientBootstrap() {
-    Bootstrap bootstrap =
-        new Bootstrap()
-            .group(group)
-            .channel(epoll ? EpollSocketChannel.class : NioSocketChannel.class)
-            .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.SO_KEEPALIVE, true);
-    if (epoll) {
-      bootstrap
-          .option(EpollChannelOption.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
-          .option(EpollChannelOption.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
-          .option(EpollChannelOption.TCP_KEEPCNT, KEEPALIVE_PROBES)
-          .option(EpollChannelOption.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MILLIS);
-    }
-    return bootstrap;
+    return new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_SECONDS)
+        .option(
+            NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_SECONDS)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES);
   }
 
   /** For connections that others open. */
   public ServerBootstrap serverBootstrap() {
+    return serverBootstrap(NioServerSocketChannel::new);
+  }
+
+  /** For connections that others open to a socket that listens already. */
+  public ServerBootstrap serverBootstrap(ServerSocketChannel listening) {
+    return serverBootstrap(() -> new NioServerSocketChannel(listening));
+  }
+
+  private ServerBootstrap serverBootstrap(ChannelFactory<NioServerSocketChannel> channels) {
     return new ServerBootstrap()
         .group(group)
-        .channel(epoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class)
+        .channelFactory(channels)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.ALLOCATOR, PooledByteBufAllocator.DEFAULT)
