--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -78,7 +78,14 @@
     List<TableReplica> replicas = List.of(orders, backends, status, members);
     this.server =
         new ReplicaServer(
-            replicas, orders, health, state::lapsesExpected, knowledge, control, clocks);
+            replicas,
+            orders,
+            health,
+            state::lapsesExpected,
+            this::refreshOrders,
+            knowledge,
+            control,
+            clocks);
     WatchPace ordersPace =
         new WatchPace(() -> server.followed() ? HUB_ORDERS_WAIT : ORDERS_WAIT, () -> Duration.ZERO);
     WatchPace backendsPace = new WatchPace(() -> OTHER_WAIT, this::gatheringPause);
@@ -103,6 +110,10 @@
             log);
   }
 
+  private void refreshOrders() {
+    watches.get(0).refresh();
+  }
+
   private Duration gatheringPause() {
     Duration pause = MIN_PAUSE.plus(PAUSE_PER_ENTRY.multipliedBy(roll.members().count()));
     return pause.compareTo(MAX_PAUSE) < 0 ? pause : MAX_PAUSE;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Follower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Follower.java
@@ -35,6 +35,9 @@
    */
   private static final Duration MAX_ORDERS_AGE = Duration.ofMillis(1200);
 
+  /** Entries start together, so that a hub can be had soon after the start. */
+  private static final Duration FIRST_SEARCH = Duration.ofMillis(700);
+
   /** How often an entry without a hub looks for one. */
   private static final Duration SEARCH_PERIOD = Duration.ofSeconds(2);
 
@@ -80,18 +83,18 @@
   /** Follows the store, and a hub as soon as there is one. */
   void start() {
     followStore.run();
-    searchLater();
+    searchAfter(FIRST_SEARCH);
   }
 
-  private void searchLater() {
-    control.schedule(this::search, SEARCH_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+  private void searchAfter(Duration pause) {
+    control.schedule(this::search, pause.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   private void search() {
     Optional<String> hub = hubs.current();
     if (hub.isEmpty() || !replicas.stream().allMatch(TableReplica::filled)) {
       leaveHub();
-      searchLater();
+      searchAfter(SEARCH_PERIOD);
     } else {
       ask(hub.get());
     }
@@ -150,7 +153,7 @@
       log.event("dependency_lost").with("dependency", "hub " + hub).with("reason", reason).write();
     }
     leaveHub();
-    searchLater();
+    searchAfter(SEARCH_PERIOD);
   }
 
   private void leaveHub() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
@@ -34,6 +34,7 @@
   private final TableReplica orders;
   private final StoreHealth health;
   private final BooleanSupplier lapsesExpected;
+  private final Runnable onFollowed;
   private final Knowledge knowledge;
   private final ScheduledExecutorService control;
   private final Clocks clocks;
@@ -41,11 +42,17 @@
   private boolean asked;
   private long askedNanos;
 
+  /**
+   * A server of replicas.
+   *
+   * @param onFollowed hears that others begin to follow this entry, which needs newer orders then
+   */
   ReplicaServer(
       List<TableReplica> replicas,
       TableReplica orders,
       StoreHealth health,
       BooleanSupplier lapsesExpected,
+      Runnable onFollowed,
       Knowledge knowledge,
       ScheduledExecutorService control,
       Clocks clocks) {
@@ -53,6 +60,7 @@
     this.orders = orders;
     this.health = health;
     this.lapsesExpected = lapsesExpected;
+    this.onFollowed = onFollowed;
     this.knowledge = knowledge;
     this.control = control;
     this.clocks = clocks;
@@ -64,8 +72,11 @@
   }
 
   CompletionStage<PeerMessage> onQuery(ReplicaQuery query) {
-    asked = true;
     Moment arrived = Moment.now(clocks);
+    if (!followed()) {
+      onFollowed.run();
+    }
+    asked = true;
     askedNanos = arrived.nanos();
     Waiting question = new Waiting(query, arrived, new CompletableFuture<>());
     if (!canAnswer()) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableWatch.java
@@ -95,6 +95,15 @@
     }
   }
 
+  /** Asks at once what has changed rather than waiting for an answer that may take longer. */
+  void refresh() {
+    if (running && failures == 0) {
+      run++;
+      catchingUp = true;
+      call();
+    }
+  }
+
   private void call() {
     Moment sent = Moment.now(clocks);
     long current = run;
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
@@ -20,6 +20,7 @@
 class ReplicaServerTest {
   private static final String TABLE = "orders";
 
+  private int refreshes;
   private final ManualClock clock = new ManualClock();
   private final EmbeddedChannel control = new EmbeddedChannel();
   private final StoreHealth health = new StoreHealth(TABLE);
@@ -30,6 +31,7 @@
           orders,
           health,
           () -> false,
+          () -> refreshes++,
           new Knowledge(clock.clocks()),
           control.eventLoop(),
           clock.clocks());
@@ -106,6 +108,18 @@
     assertThat(answered(ask(5)).tables().get(0).rows()).containsExactly(removed);
   }
 
+  @Test
+  void shouldCheckTheOrdersAnewWhenOthersBeginToFollow() {
+    assertThat(ask(5)).isNotNull();
+    pass(Duration.ofSeconds(1));
+    assertThat(ask(5)).isNotNull();
+    assertThat(refreshes).isEqualTo(1);
+
+    pass(Duration.ofSeconds(10));
+    assertThat(ask(5)).isNotNull();
+    assertThat(refreshes).isEqualTo(2);
+  }
+
   @Test
   void shouldRefuseWhileTheStoreFails() {
     CompletableFuture<PeerMessage> waiting = ask(5);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TableWatchTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TableWatchTest.java
@@ -96,6 +96,15 @@
     assertThat(store.open(TABLE).patience()).isLessThan(Duration.ofMillis(10));
   }
 
+  @Test
+  void shouldNotWaitForTheAnswerUnderWayWhenItIsToRefresh() {
+    int before = store.calls(TABLE).size();
+    watch.refresh();
+
+    assertThat(store.calls(TABLE)).hasSize(before + 1);
+    assertThat(store.calls(TABLE).get(before).patience()).isLessThan(Duration.ofMillis(10));
+  }
+
   @Test
   void shouldReadTheWholeTableWhereHistoryWasLost() {
     store.fail(TABLE, StoreFailure.Kind.HISTORY_LOST);
