Pass on every answer of the smallest model where the strongest would be late

Cause: with more work than the engines can do, doubtful answers were asked for again at the strongest model although it was known that it would be late; its queue then grew beyond the objective of all that came later. Change: every answer is passed on from 0.8 of the remaining time on (before: from 1.2 on, and only those of a confidence above 25 percent). Callers see the confidence in the answer's header.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/cascade/ConfidenceCascade.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/cascade/ConfidenceCascade.java
@@ -13,17 +13,18 @@
  * <p>Answers the price of strong models: reading a prompt costs the smallest model a small part of
  * what it costs the strongest, and its opinion comes with the first event, before the caller has
  * got anything. Also answers engines that are overloaded: the later the strongest model would
- * answer, the more doubt is accepted. Stateless.
+ * answer, the more doubt is accepted, so that its queue does not grow beyond the objective; callers
+ * see the confidence of what they get. Stateless.
  */
 public final class ConfidenceCascade implements ModelPolicy {
   /** Share of the remaining time up to which the strongest model answers well in time. */
   private static final double EASY_PRESSURE = 0.5;
 
-  /** Share of the remaining time from which its answer would be late. */
-  private static final double HOPELESS_PRESSURE = 1.2;
-
-  /** Doubtful answers are rarely good below this, in percent, so that a late one is better. */
-  private static final double LEAST_CONFIDENCE = 25;
+  /**
+   * Share of the remaining time from which every answer of the smallest model is passed on: another
+   * prompt at the strongest would be late itself and make those behind it late as well.
+   */
+  private static final double HOPELESS_PRESSURE = 0.8;
 
   private final int acceptedConfidence;
 
@@ -63,8 +64,7 @@
     if (pressure <= EASY_PRESSURE) {
       return acceptedConfidence;
     }
-    double least = Math.min(acceptedConfidence, LEAST_CONFIDENCE);
     double strain = Math.min(1, (pressure - EASY_PRESSURE) / (HOPELESS_PRESSURE - EASY_PRESSURE));
-    return acceptedConfidence - strain * (acceptedConfidence - least);
+    return acceptedConfidence * (1 - strain);
   }
 }
