--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Follower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Follower.java
@@ -149,9 +149,11 @@
 
   private void lose(String hub, String reason) {
     hubs.avoid(hub);
-    if (following) {
-      log.event("dependency_lost").with("dependency", "hub " + hub).with("reason", reason).write();
-    }
+    log.event("hub_left")
+        .with("hub", hub)
+        .with("reason", reason)
+        .with("followed", following ? "yes" : "no")
+        .write();
     leaveHub();
     searchAfter(SEARCH_PERIOD);
   }
