--- a/guavagw-cli/src/main/java/org/guavagw/cli/Main.java
+++ b/guavagw-cli/src/main/java/org/guavagw/cli/Main.java
@@ -8,6 +8,7 @@
 import org.guavagw.cli.ctl.CtlProgram;
 import org.guavagw.cli.demo.DemoCommand;
 import org.guavagw.cli.entry.EntryCommand;
+import org.guavagw.gateway.explain.ExplainCommand;
 
 /** Entry point of all programs: the first argument names the program. Stateless. */
 public final class Main {
@@ -19,6 +20,7 @@
           .put("ctl", CtlProgram::run)
           .put("demo", DemoCommand::run)
           .put("entry", EntryCommand::run)
+          .put("explain", ExplainCommand::run)
           .build();
 
   private Main() {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.guavagw.gateway.internal.cascade.ConfidenceCascade;
 import org.guavagw.gateway.internal.control.ControlPlane;
@@ -43,6 +44,7 @@
   private final EventLog log;
   private final Knowledge knowledge;
   private final Relay relay;
+  private final ProbeServer metricsServer;
   private final AtomicBoolean stopping = new AtomicBoolean();
   private final Closer closer = new Closer();
 
@@ -102,19 +104,34 @@
             new ControlPlane(
                 store, format, state, roll, knowledge, hubs, peers, controlLoop, clocks, log));
     peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
-    serveProbes(traffic, metrics);
+    this.metricsServer = serveProbes(traffic, metrics, roll, plane);
     plane.start();
     rollouts.start();
   }
 
-  private void serveProbes(Transport traffic, GatewayMetrics metrics) {
+  private ProbeServer serveProbes(
+      Transport traffic, GatewayMetrics metrics, MemberRoll roll, ControlPlane plane) {
     closer.register(new ProbeServer(traffic, settings.readyAddress(), this::readiness));
-    closer.register(
-        new ProbeServer(
-            traffic, settings.metricsAddress(), path -> new ProbeAnswer(200, metrics.text())));
     metrics.gauge("config_version", () -> knowledge.get().configVersion());
     metrics.gauge("orders_age_seconds", () -> knowledge.ordersAge().toMillis() / 1000.0);
+    metrics.gauge("backend_servers_ready", () -> countBackends(false));
+    metrics.gauge("backend_servers_draining", () -> countBackends(true));
+    metrics.gauge("entries", () -> roll.members().all().size());
+    metrics.gauge("follows_hub", () -> plane.followsHub() ? 1 : 0);
     metrics.gauge("log_lines_dropped", log::droppedLines);
+    metrics.gauge(
+        "heap_used_bytes",
+        () -> Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
+    return closer.register(
+        new ProbeServer(
+            traffic, settings.metricsAddress(), path -> new ProbeAnswer(200, metrics.text())));
+  }
+
+  private long countBackends(boolean draining) {
+    return knowledge.get().backendsByService().values().stream()
+        .flatMap(List::stream)
+        .filter(s -> s.draining() == draining)
+        .count();
   }
 
   /** Starts a gateway that takes the socket of its callers over. */
@@ -145,6 +162,11 @@
     return relay.callerAddress();
   }
 
+  /** Address that metrics are served on. */
+  public InetSocketAddress metricsAddress() {
+    return metricsServer.address();
+  }
+
   /** Lets requests under way end, then stops. */
   public void shutDown() throws InterruptedException {
     if (!stopping.compareAndSet(false, true)) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -124,6 +124,11 @@
     control.execute(follower::start);
   }
 
+  /** Whether this entry follows the hub of its data centre rather than the store. */
+  public boolean followsHub() {
+    return follower.following();
+  }
+
   /** Answers another entry that follows this one. */
   public CompletionStage<PeerMessage> onQuery(ReplicaQuery query) {
     return CompletableFuture.supplyAsync(() -> server.onQuery(query), control)
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Follower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/Follower.java
@@ -22,7 +22,8 @@
  *
  * <p>Answers deployments of many entries, whose calls to the store would cost more than anything
  * else they do. Invariant: the entry follows the store itself whenever it has no hub, or one that
- * does not answer in time or is not up to date itself. Confined to the control thread.
+ * does not answer in time or is not up to date itself. Confined to the control thread, but for
+ * {@link #following}.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class Follower {
@@ -50,7 +51,7 @@
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final EventLog log;
-  private boolean following;
+  private volatile boolean following;
 
   /**
    * A follower.
@@ -80,6 +81,11 @@
     this.log = log;
   }
 
+  /** Whether a hub is followed. Thread-safe. */
+  boolean following() {
+    return following;
+  }
+
   /** Follows the store, and a hub as soon as there is one. */
   void start() {
     followStore.run();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -5,10 +5,10 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -112,7 +112,7 @@
             log,
             metrics,
             members);
-    Set<CallerConnection> connections = new HashSet<>();
+    Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     FrontParts parts =
         new FrontParts(exchanges, this::limits, connections, shutdown, inFlight, log);
     this.front = front;
@@ -128,6 +128,7 @@
         WorkReport.class,
         (from, message) -> loads.onReport(from.memberId(), message, ticker.read()));
     metrics.gauge("requests_in_flight", inFlight::count);
+    metrics.gauge("caller_connections", connections::size);
   }
 
   private double coldShare(BackendServer server) {
