Tell entries of other data centres what is under way

Cause: prompts of several ten thousand tokens hold up everything behind them at a backend server. Change: up to 12 entries all tell one another, those of other data centres each 0.3 s; of more, the first entry of each data centre tells the other first ones. Log lines of attempts give the work of all entries. Tests: shouldTellEntriesOfOtherDataCentres and ...ThroughTheFirstOfEach, of behaviour that was not there; messages stay within the number of entries.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -68,7 +68,6 @@
         closer.register(
             new Peers(
                 settings.nodeName(),
-                settings.dataCentre(),
                 settings.peerAddress(),
                 settings.peerSecret(),
                 trafficLoop,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Hubs.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Hubs.java
@@ -2,7 +2,6 @@
 
 import com.google.common.base.Ticker;
 import java.time.Duration;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -32,23 +31,21 @@
     this.ticker = ticker;
   }
 
-  /** The hub of this entry; empty if there is none, or this entry is the hub itself. */
+  /** The entry whose replicas this one follows; empty if it is to read the store itself. */
   public Optional<String> current() {
     Members now = members.get();
-    List<Member> ranked = now.rankedNeighbours();
-    if (ranked.size() < MIN_ENTRIES) {
-      return Optional.empty();
-    }
-    return ranked.stream()
-        .map(Member::name)
-        .filter(name -> name.equals(now.self()) || !isAvoided(name))
-        .findFirst()
-        .filter(name -> !name.equals(now.self()));
+    return now.rankedNeighbours().size() < MIN_ENTRIES
+        ? Optional.empty()
+        : first().filter(name -> !name.equals(now.self()));
   }
 
-  /** Whether the entries of the data centre send their reports through hubs. */
-  public boolean inUse() {
-    return members.get().rankedNeighbours().size() >= MIN_ENTRIES;
+  /** The first entry of this data centre that is not avoided, this one included. */
+  public Optional<String> first() {
+    Members now = members.get();
+    return now.rankedNeighbours().stream()
+        .map(Member::name)
+        .filter(name -> name.equals(now.self()) || !isAvoided(name))
+        .findFirst();
   }
 
   /** Leaves an entry alone for a while that failed as a hub. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The entries that share the common bounds. Immutable.
@@ -65,6 +67,30 @@
         .orElse(List.of());
   }
 
+  /** Every entry but this one. */
+  public List<Member> others() {
+    return all.stream().filter(m -> !m.name().equals(self)).toList();
+  }
+
+  /** Names of the other entries of this data centre. */
+  public Set<String> neighbours() {
+    return rankedNeighbours().stream()
+        .map(Member::name)
+        .filter(name -> !name.equals(self))
+        .collect(Collectors.toSet());
+  }
+
+  /** The first entry of every other data centre. */
+  public List<Member> firstElsewhere() {
+    String here = rankedNeighbours().stream().findFirst().map(Member::dataCentre).orElse("");
+    return all.stream()
+        .map(Member::dataCentre)
+        .distinct()
+        .filter(dc -> !dc.equals(here))
+        .flatMap(dc -> ranked(dc).stream().limit(1))
+        .toList();
+  }
+
   /** Entries that gather what all have seen of a rollout: a few in each data centre. */
   public List<Member> judges() {
     if (all.size() <= MAX_ALL_JUDGES) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Peers.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Peers.java
@@ -36,7 +36,6 @@
 
   private final PeerAddresses addresses = new PeerAddresses();
   private final PeerNetwork network;
-  private final String dataCentre;
   private volatile List<Member> others = List.of();
   private volatile List<Member> judges = List.of();
 
@@ -47,12 +46,10 @@
    */
   public Peers(
       String self,
-      String dataCentre,
       InetSocketAddress address,
       String secret,
       Executor traffic,
       MetricRegistry metrics) {
-    this.dataCentre = dataCentre;
     PeerMessageRegistry registry = new PeerMessageRegistry();
     registry.register(TYPES);
     this.network =
@@ -67,7 +64,7 @@
 
   /** Takes who the entries are. */
   public void onMembers(Members members) {
-    others = members.all().stream().filter(m -> !m.name().equals(members.self())).toList();
+    others = members.others();
     judges = members.judges().stream().filter(m -> !m.name().equals(members.self())).toList();
     others.forEach(m -> addresses.put(m.name(), new PeerAddress(m.host(), m.port())));
   }
@@ -98,14 +95,6 @@
     others.forEach(m -> send(m.name(), message));
   }
 
-  /** The other entries of this data centre. */
-  public List<String> neighbours() {
-    return others.stream()
-        .filter(m -> m.dataCentre().equals(dataCentre))
-        .map(Member::name)
-        .toList();
-  }
-
   /** Sends to one entry. */
   public void send(String entry, PeerMessage message) {
     // A failure is counted by the network; the next message makes good for this one.
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadBook.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.guavagw.gateway.internal.peers.WorkReport;
 import org.guavagw.gateway.internal.peers.WorkReport.ServerWork;
@@ -51,12 +52,12 @@
   }
 
   /** Requests under way at a backend server, as far as entries told one another. */
-  int totalRunning(BackendServer server) {
+  public int totalRunning(BackendServer server) {
     return load(server).running() + neighbours.at(server.incarnation()).running();
   }
 
   /** Time that a backend server needs to read the prompts that wait there. */
-  double totalWaitingMillis(BackendServer server) {
+  public double totalWaitingMillis(BackendServer server) {
     return load(server).waitingMillis() + neighbours.at(server.incarnation()).waitingMillis();
   }
 
@@ -89,14 +90,9 @@
     return new WorkReport(servers);
   }
 
-  /** What the other entries have under way, one of them left out. */
-  WorkReport neighboursWithout(String entry) {
-    return neighbours.without(entry);
-  }
-
-  /** Requests of this entry that are under way at a backend server. */
-  public int running(BackendServer server) {
-    return load(server).running();
+  /** What some of the other entries have under way. */
+  WorkReport ofEntries(Predicate<String> included) {
+    return neighbours.sumOf(included);
   }
 
   /** Notes that an attempt was sent, and returns what has to be read for it. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/NeighbourWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/NeighbourWork.java
@@ -31,12 +31,8 @@
     sums = sumOf(name -> true).servers();
   }
 
-  /** What all entries but one have under way. */
-  WorkReport without(String entry) {
-    return sumOf(name -> !name.equals(entry));
-  }
-
-  private WorkReport sumOf(Predicate<String> included) {
+  /** What some of the entries have under way. */
+  WorkReport sumOf(Predicate<String> included) {
     return reports.entrySet().stream()
         .filter(e -> included.test(e.getKey()))
         .map(e -> e.getValue().report())
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -117,7 +117,12 @@
                 request.caller().prompt(),
                 request.caller().promptTokens(),
                 cacheTokens);
-    log.attemptSent(chosen, model, work, parts.loads().running(chosen));
+    log.attemptSent(
+        chosen,
+        model,
+        work,
+        parts.loads().totalRunning(chosen),
+        parts.loads().totalWaitingMillis(chosen));
     if (!sentBefore) {
       parts.repeats().apply(plan.service()).onFirst(now);
       sentBefore = true;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
@@ -18,13 +18,19 @@
     this.request = request;
   }
 
-  void attemptSent(BackendServer server, Optional<String> model, PromptWork work, int running) {
+  void attemptSent(
+      BackendServer server,
+      Optional<String> model,
+      PromptWork work,
+      int running,
+      double waitingMillis) {
     EventLog.Line line =
         line("attempt_sent")
             .with("backend", server.id())
             .with("backend_version", server.version())
             .with("data_centre", server.dataCentre())
             .with("running_there", running)
+            .with("waiting_there_ms", Math.round(waitingMillis))
             .with("tokens_to_read", work.tokens())
             .with("reading_ms", Math.round(work.millis()));
     model.ifPresent(m -> line.with("model", m));
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -120,7 +120,7 @@
     loop.schedule(() -> front.open(parts), LONGEST_HOLD.toMillis(), TimeUnit.MILLISECONDS);
     long period = TIDY_PERIOD.toMillis();
     loop.scheduleAtFixedRate(this::tidy, period, period, TimeUnit.MILLISECONDS);
-    WorkExchange exchange = new WorkExchange(loads, hubs, peers::neighbours, peers::send);
+    WorkExchange exchange = new WorkExchange(loads, members, hubs, peers::send);
     long report = WorkExchange.PERIOD.toMillis();
     loop.scheduleAtFixedRate(
         () -> exchange.tick(ticker.read()), report, report, TimeUnit.MILLISECONDS);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkExchangeTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkExchangeTest.java
@@ -42,6 +42,29 @@
     entries.forEach(e -> assertThat(e.loads.totalRunning(SERVER)).isEqualTo(20));
   }
 
+  @Test
+  void shouldTellEntriesOfOtherDataCentres() {
+    start(4, "dc1");
+    start(4, "dc2");
+    entries.get(0).send(1);
+
+    run(Duration.ofSeconds(1));
+
+    entries.forEach(e -> assertThat(e.loads.totalRunning(SERVER)).isEqualTo(1));
+  }
+
+  @Test
+  void shouldTellEntriesOfOtherDataCentresThroughTheFirstOfEach() {
+    start(20, "dc1");
+    start(20, "dc2");
+    start(2, "dc3");
+    entries.forEach(e -> e.send(1));
+
+    run(Duration.ofSeconds(2));
+
+    entries.forEach(e -> assertThat(e.loads.totalRunning(SERVER)).isEqualTo(42));
+  }
+
   @Test
   void shouldSendMessagesInProportionToTheNumberOfEntries() {
     start(20);
@@ -77,9 +100,14 @@
   }
 
   private void start(int count) {
+    start(count, "dc1");
+  }
+
+  private void start(int count, String dataCentre) {
     for (int i = 0; i < count; i++) {
-      all.add(new Member("entry-" + i, "dc1", "127.0.0.1", i + 1));
+      all.add(new Member(dataCentre + "-" + i, dataCentre, "127.0.0.1", i + 1));
     }
+    entries.clear();
     all.forEach(m -> entries.add(new Entry(m.name())));
   }
 
@@ -103,8 +131,8 @@
       this.exchange =
           new WorkExchange(
               loads,
+              () -> members,
               new Hubs(() -> members, clock),
-              () -> all.stream().map(Member::name).filter(n -> !n.equals(name)).toList(),
               (to, report) -> {
                 messages++;
                 entries.stream()
