Report a rollout's state by one entry after the other

Cause: a third of all entries wrote the beginning of a rollout at the same look and all of them its end, though only one conditional write can win and each is a call that is paid for: up to 100 calls a rollout with 78 entries. Change: entries that judge write in an order that is the same on all of them, each a look (0.25 s) after the one before if nobody has; the others come last. Tests: MembersTest, three new ones, of behaviour that was not there.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -81,7 +81,8 @@
     MemberRoll roll = new MemberRoll(self, store, format, controlLoop, log, peers::onMembers);
     Hubs hubs = new Hubs(roll::members, ticker);
     RolloutDirector rollouts =
-        new RolloutDirector(knowledge, store, format, trafficLoop, controlLoop, peers, log);
+        new RolloutDirector(
+            knowledge, store, format, trafficLoop, controlLoop, peers, roll::members, log);
     this.relay =
         closer.register(
             new Relay(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
@@ -25,6 +25,9 @@
   /** Up to so many entries tell all others what they see, which costs little. */
   private static final int MAX_ALL_JUDGES = 12;
 
+  /** Makes the order of those who act another one than that of a data centre's entries. */
+  private static final String ACTING = "acting";
+
   /** One of them may be gone. */
   private static final int JUDGES_IN_DATA_CENTRE = 2;
 
@@ -103,6 +106,25 @@
         .toList();
   }
 
+  /**
+   * How many others come before this entry where one of them is to act for all; entries that do not
+   * judge come last, in an order of their own.
+   */
+  public int turn() {
+    List<String> judges = sortedNames(judges());
+    int position = judges.indexOf(self);
+    return position >= 0
+        ? position
+        : judges.size() + Math.floorMod(hash(self, ACTING), MAX_ALL_JUDGES);
+  }
+
+  private static List<String> sortedNames(List<Member> members) {
+    return members.stream()
+        .map(Member::name)
+        .sorted(Comparator.comparing(name -> hash(name, ACTING)))
+        .toList();
+  }
+
   private List<Member> ranked(String dataCentre) {
     return all.stream()
         .filter(m -> m.dataCentre().equals(dataCentre))
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutDirector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutDirector.java
@@ -5,13 +5,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.control.Knowledge;
 import org.guavagw.gateway.internal.control.Orders.ObservedRollout;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.peers.EvidenceReport;
+import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Peers;
 import org.guavagw.gateway.internal.peers.Rejection;
 import org.guavagw.gateway.model.RolloutOrder;
@@ -36,9 +37,6 @@
   /** How often entries tell the judges what they saw where nothing went badly. */
   private static final Duration REPORT_PERIOD = Duration.ofSeconds(2);
 
-  /** Spreads the reports that begin a rollout over less than a second. */
-  private static final int MAX_LOOKS_BEFORE_BEGIN = 3;
-
   /** Wait before a write that failed is tried again. */
   private static final Duration WRITE_PAUSE = Duration.ofMillis(500);
 
@@ -48,6 +46,7 @@
   private final ScheduledExecutorService traffic;
   private final ScheduledExecutorService control;
   private final Peers peers;
+  private final Supplier<Members> members;
   private final EventLog log;
   private final Map<String, Trial> trials = new HashMap<>();
 
@@ -59,6 +58,7 @@
       ScheduledExecutorService traffic,
       ScheduledExecutorService control,
       Peers peers,
+      Supplier<Members> members,
       EventLog log) {
     this.knowledge = knowledge;
     this.store = store;
@@ -66,6 +66,7 @@
     this.traffic = traffic;
     this.control = control;
     this.peers = peers;
+    this.members = members;
     this.log = log;
   }
 
@@ -137,9 +138,6 @@
       trials.put(order.service(), trial);
     }
     if (answer.isEmpty()) {
-      if (!trial.mayBegin()) {
-        return;
-      }
       report(trial, row, RolloutState.RUNNING, knowledge.storeMillis());
       return;
     }
@@ -204,7 +202,7 @@
 
   private void report(
       Trial trial, Optional<RolloutStatus> row, RolloutState state, long startedMillis) {
-    if (trial.writing) {
+    if (trial.writing || !trial.isItsTurn(state, members.get().turn())) {
       return;
     }
     trial.writing = true;
@@ -242,12 +240,19 @@
     private boolean rejected;
     private boolean writing;
     private long toldMillis;
-    private final int firstLook = ThreadLocalRandom.current().nextInt(MAX_LOOKS_BEFORE_BEGIN);
+    private RolloutState wanted;
     private int looks;
 
-    /** Lets one entry after the other begin a rollout, as only one report can win. */
-    boolean mayBegin() {
-      return looks++ >= firstLook;
+    /**
+     * Lets one entry after the other report a state, each a look later, as only one report can win
+     * and each costs a call.
+     */
+    boolean isItsTurn(RolloutState state, int turn) {
+      if (state != wanted) {
+        wanted = state;
+        looks = 0;
+      }
+      return looks++ >= turn;
     }
 
     Trial(RolloutOrder order) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/MembersTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/MembersTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import org.guavagw.gateway.internal.peers.Members.Member;
 import org.junit.jupiter.api.Test;
@@ -19,6 +20,32 @@
     assertThat(members(4, 20).judges().stream().map(Member::dataCentre).distinct()).hasSize(4);
   }
 
+  @Test
+  void shouldGiveEveryJudgeATurnOfItsOwn() {
+    List<Member> all = members(2, 4).all();
+    assertThat(all.stream().map(m -> new Members(m.name(), all).turn()))
+        .containsExactlyInAnyOrder(0, 1, 2, 3, 4, 5, 6, 7);
+  }
+
+  @Test
+  void shouldLetOthersActOnlyAfterTheJudges() {
+    List<Member> all = members(4, 20).all();
+    List<Integer> turns = all.stream().map(m -> new Members(m.name(), all).turn()).toList();
+    assertThat(turns.stream().filter(t -> t < 8).distinct()).hasSize(8);
+    assertThat(turns.stream().filter(t -> t < 8)).hasSize(8);
+  }
+
+  @Test
+  void shouldNotDependOnTheOrderInWhichEntriesAreKnown() {
+    List<Member> all = members(4, 20).all();
+    List<Member> reversed = new ArrayList<>(all);
+    Collections.reverse(reversed);
+    for (Member member : all) {
+      assertThat(new Members(member.name(), reversed).turn())
+          .isEqualTo(new Members(member.name(), all).turn());
+    }
+  }
+
   private static Members members(int dataCentres, int entriesInEach) {
     List<Member> all = new ArrayList<>();
     for (int dc = 0; dc < dataCentres; dc++) {
