Keep reported work by its origin, so that sums cannot feed on themselves

Cause: a hub's sum for a follower was stored there like the report of one entry. Change: an entry's work, a data centre's work and a hub's summary are different messages. Only work of entries is ever added up into the other two, and a summary is used alone and never passed on. Figures that no backend server could hold are logged, counted and not used. A hub reaches the entry that reports for another data centre rather than the first in rank. Ranks are computed once per list of members, and a hub subtracts a follower's report from one total instead of summing for each follower. The other things that entries share (evidence of rollouts, retry budgets, cold-start shares) were checked: evidence is kept by entry and only an entry's own is sent; the other two aren't exchanged.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
@@ -38,6 +38,11 @@
     registry.counter("store_calls." + call + "." + result).inc();
   }
 
+  /** Counts a work report of another entry that cannot be true. */
+  public void onImplausibleReport() {
+    registry.counter("work_reports_ignored").inc();
+  }
+
   /** Registers a gauge that reads its value from a supplier. */
   public void gauge(String name, Supplier<? extends Number> value) {
     Gauge<Number> gauge = value::get;
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/DataCentreWork.java
@@ -0,0 +1,13 @@
+package org.guavagw.gateway.internal.peers;
+
+import org.guavagw.internal.peer.PeerMessage;
+
+/**
+ * The work of all entries of one data centre, sent by its hub to the hubs of the others. Immutable.
+ *
+ * <p>Is computed from work reports of entries only, never from another {@code DataCentreWork} or a
+ * {@link WorkSummary}, so that no work can be counted twice however messages travel.
+ *
+ * @param dataCentre data centre whose entries have the work
+ */
+public record DataCentreWork(String dataCentre, ServerWork work) implements PeerMessage {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
@@ -1,20 +1,20 @@
 package org.guavagw.gateway.internal.peers;
 
+import com.google.common.base.Suppliers;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 /**
  * The registered entries of a deployment, which share its limits, and the duties that rendezvous
- * hashing assigns to them. Immutable.
- *
- * @param self name of this entry
- * @param all all registered entries, this one included
+ * hashing assigns to them. Immutable; ranks are computed when they are first needed.
  */
-public record Members(String self, List<Member> all) {
+public final class Members {
   /** Number of entries assumed until the list was read; high enough that no limit is exceeded. */
   private static final int ASSUMED_ENTRIES = 16;
 
@@ -35,8 +35,33 @@
   /** Two, as one of them may be down. */
   private static final int EVALUATORS_PER_DATA_CENTRE = 2;
 
-  public Members {
-    all = List.copyOf(all);
+  private final String self;
+  private final List<Member> all;
+  private final Supplier<List<Member>> rankedLocalMembers =
+      Suppliers.memoize(this::rankLocalMembers);
+  private final Supplier<Set<String>> localPeers = Suppliers.memoize(this::findLocalPeers);
+  private final Supplier<Map<String, List<Member>>> remoteMembers =
+      Suppliers.memoize(this::rankRemoteMembers);
+
+  /**
+   * Creates the list of registered entries.
+   *
+   * @param self name of this entry
+   * @param all all registered entries, this one included
+   */
+  public Members(String self, List<Member> all) {
+    this.self = self;
+    this.all = List.copyOf(all);
+  }
+
+  /** Returns the name of this entry. */
+  public String self() {
+    return self;
+  }
+
+  /** Returns all registered entries, this one included if it is registered. */
+  public List<Member> all() {
+    return all;
   }
 
   /** Returns the number of entries that share the limits. */
@@ -71,6 +96,10 @@
    * is the same on all entries.
    */
   public List<Member> rankedLocalMembers() {
+    return rankedLocalMembers.get();
+  }
+
+  private List<Member> rankLocalMembers() {
     return all.stream()
         .filter(m -> m.name().equals(self))
         .findFirst()
@@ -85,22 +114,32 @@
 
   /** Returns the names of the other entries of this data centre. */
   public Set<String> localPeers() {
+    return localPeers.get();
+  }
+
+  private Set<String> findLocalPeers() {
     return rankedLocalMembers().stream()
         .map(Member::name)
         .filter(name -> !name.equals(self))
-        .collect(Collectors.toSet());
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
+  /** Returns the data centre of this entry; empty if this entry is not registered. */
+  public String localDataCentre() {
+    return rankedLocalMembers().stream().findFirst().map(Member::dataCentre).orElse("");
+  }
+
+  /** Returns the entries of every other data centre in the order of their rank. */
+  public Map<String, List<Member>> remoteMembers() {
+    return remoteMembers.get();
   }
 
-  /** Returns the presumed hub, the first in rank, of every other data centre. */
-  public List<Member> hubsOfOtherDataCentres() {
-    String localDataCentre =
-        rankedLocalMembers().stream().findFirst().map(Member::dataCentre).orElse("");
+  private Map<String, List<Member>> rankRemoteMembers() {
     return all.stream()
         .map(Member::dataCentre)
         .distinct()
-        .filter(dc -> !dc.equals(localDataCentre))
-        .flatMap(dc -> ranked(dc).stream().limit(1))
-        .toList();
+        .filter(dc -> !dc.equals(localDataCentre()))
+        .collect(Collectors.toUnmodifiableMap(dc -> dc, this::ranked));
   }
 
   /**
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
@@ -31,6 +31,8 @@
           new PeerMessageType<>("evidence", EvidenceReport.class),
           new PeerMessageType<>("rejection", RolloutRejection.class),
           new PeerMessageType<>("work", WorkReport.class),
+          new PeerMessageType<>("data-centre-work", DataCentreWork.class),
+          new PeerMessageType<>("work-summary", WorkSummary.class),
           new PeerMessageType<>("replica-query", ReplicaQuery.class),
           new PeerMessageType<>("replica-answer", ReplicaAnswer.class));
 
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
@@ -0,0 +1,62 @@
+package org.guavagw.gateway.internal.peers;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Work at backend servers. Immutable.
+ *
+ * @param byIncarnation work by incarnation, without backend servers that have none
+ */
+public record ServerWork(Map<String, Work> byIncarnation) {
+  /** No work at any backend server. */
+  public static final ServerWork NONE = new ServerWork(Map.of());
+
+  public ServerWork {
+    byIncarnation = Map.copyOf(byIncarnation);
+  }
+
+  /** Returns the work at a backend server. */
+  public Work at(String incarnation) {
+    return byIncarnation.getOrDefault(incarnation, Work.NONE);
+  }
+
+  /** Returns the sum of both. */
+  public ServerWork plus(ServerWork other) {
+    Map<String, Work> sum = new HashMap<>(byIncarnation);
+    other.byIncarnation.forEach((incarnation, work) -> sum.merge(incarnation, work, Work::plus));
+    return new ServerWork(sum);
+  }
+
+  /** Returns this work without a part of it. */
+  public ServerWork minus(ServerWork part) {
+    Map<String, Work> rest = new HashMap<>(byIncarnation);
+    part.byIncarnation.forEach(
+        (incarnation, work) ->
+            rest.computeIfPresent(incarnation, (i, all) -> all.minus(work).orNullIfNone()));
+    return new ServerWork(rest);
+  }
+
+  /**
+   * Work at one backend server. Immutable.
+   *
+   * @param running number of requests sent and not yet answered
+   * @param waitingMillis estimated prefill time of the prompts that are still to be processed
+   */
+  public record Work(int running, double waitingMillis) {
+    /** No work. */
+    public static final Work NONE = new Work(0, 0);
+
+    Work plus(Work other) {
+      return new Work(running + other.running, waitingMillis + other.waitingMillis);
+    }
+
+    Work minus(Work part) {
+      return new Work(running - part.running, Math.max(0, waitingMillis - part.waitingMillis));
+    }
+
+    private Work orNullIfNone() {
+      return running > 0 ? this : null;
+    }
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
@@ -5,10 +5,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import org.guavagw.gateway.internal.peers.WorkReport;
-import org.guavagw.gateway.internal.peers.WorkReport.ServerWork;
+import org.guavagw.gateway.internal.peers.ServerWork;
+import org.guavagw.gateway.internal.peers.ServerWork.Work;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.PromptPart;
 
@@ -56,13 +55,13 @@
    * Returns the in-flight requests at a backend server: this entry's and those reported by others.
    */
   public int totalInFlight(BackendServer server) {
-    return load(server).inFlight() + peerReports.forServer(server.incarnation()).running();
+    return load(server).inFlight() + peerReports.at(server.incarnation()).running();
   }
 
   /** Returns the prefill time of the prompts queued at a backend server, from all entries. */
   public double totalPendingPrefillMillis(BackendServer server) {
     return load(server).pendingPrefillMillis()
-        + peerReports.forServer(server.incarnation()).waitingMillis();
+        + peerReports.at(server.incarnation()).waitingMillis();
   }
 
   /** Returns the prefill time of the part of a prompt that is not in the prefix cache. */
@@ -77,26 +76,21 @@
     return totalPendingPrefillMillis(server) + prefillMillis(server, model, prompt, tokens);
   }
 
-  /** Records the work report of another entry. */
-  public void onReport(String entry, WorkReport report, long nowNanos) {
-    peerReports.onReport(entry, report, nowNanos);
+  /** Returns the work that other entries reported. */
+  PeerWorkReports peerReports() {
+    return peerReports;
   }
 
-  /** Returns this entry's own work report. */
-  public WorkReport report() {
-    Map<String, ServerWork> servers = new HashMap<>();
+  /** Returns the work of this entry. */
+  public ServerWork ownWork() {
+    Map<String, Work> work = new HashMap<>();
     loads.forEach(
         (incarnation, load) -> {
           if (load.inFlight() > 0) {
-            servers.put(incarnation, new ServerWork(load.inFlight(), load.pendingPrefillMillis()));
+            work.put(incarnation, new Work(load.inFlight(), load.pendingPrefillMillis()));
           }
         });
-    return new WorkReport(servers);
-  }
-
-  /** Returns the sum of the reports of the other entries that match. */
-  WorkReport sumOfEntries(Predicate<String> included) {
-    return peerReports.sumOf(included);
+    return new ServerWork(work);
   }
 
   /** Records that an attempt was sent and returns the estimate of its prefill. */
@@ -177,7 +171,7 @@
 
   /** Removes the state of backend servers that are gone and have no in-flight requests. */
   public void retain(Set<String> incarnations, long nowNanos) {
-    peerReports.refreshSums(nowNanos);
+    peerReports.expire(nowNanos);
     Set<String> idle =
         loads.entrySet().stream()
             .filter(e -> !incarnations.contains(e.getKey()) && e.getValue().inFlight() == 0)
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
@@ -2,25 +2,32 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
+import org.guavagw.gateway.internal.peers.DataCentreWork;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
+import org.guavagw.gateway.internal.peers.ServerWork;
 import org.guavagw.gateway.internal.peers.WorkReport;
+import org.guavagw.gateway.internal.peers.WorkSummary;
+import org.guavagw.internal.peer.PeerMessage;
 
 /**
- * Sends work reports, this entry's load on each backend server, to other entries.
+ * Sends this entry's work at each backend server to other entries.
  *
  * <p>A long prompt delays all requests queued behind it at a backend server, whichever entry sent
- * it, so placement needs the load of all entries. In a small deployment every entry reports to
+ * it, so placement needs the work of all entries. In a small deployment every entry reports to
  * every other. In a large one each entry reports to the hub of its data centre; the hub sends each
- * of these entries the sum of all others, and sends the total of its data centre to the hubs of
- * other data centres. The number of messages thus grows linearly with the number of entries.
- * Confined to the traffic thread.
+ * of these entries a summary of all others, and sends the work of its data centre to the hubs of
+ * other data centres. The number of messages thus grows linearly with the number of entries. A sum
+ * is never added to another sum by its receiver, so that work cannot be counted twice while entries
+ * disagree on the hub. Confined to the traffic thread.
  */
 public final class WorkReportSender {
   /** Interval between calls of {@link #tick}; short compared with the duration of a request. */
@@ -35,15 +42,16 @@
   /** Minimum interval between data centres, where traffic is expensive and requests are few. */
   private static final Duration CROSS_DATA_CENTRE_INTERVAL = Duration.ofMillis(290);
 
+  /** Entries of a data centre that are sent its reports while its hub is not known. */
+  private static final int LIKELY_HUBS = 2;
+
   /** An unchanged report is sent again before it expires at the receivers. */
   private static final Duration REFRESH_INTERVAL = PeerWorkReports.MAX_AGE.dividedBy(2);
 
-  private static final WorkReport EMPTY = new WorkReport(Map.of());
-
   private final LoadTracker loads;
   private final Supplier<Members> members;
   private final HubSelector hubSelector;
-  private final BiConsumer<String, WorkReport> send;
+  private final BiConsumer<String, PeerMessage> send;
   private final Map<String, Sent> sent = new HashMap<>();
 
   /**
@@ -55,7 +63,7 @@
       LoadTracker loads,
       Supplier<Members> members,
       HubSelector hubSelector,
-      BiConsumer<String, WorkReport> send) {
+      BiConsumer<String, PeerMessage> send) {
     this.loads = loads;
     this.members = members;
     this.hubSelector = hubSelector;
@@ -65,57 +73,92 @@
   /** Sends the reports that are due. */
   public void tick(long nowNanos) {
     Members known = members.get();
-    WorkReport own = loads.report();
     if (known.all().size() <= MAX_MESH_ENTRIES) {
-      sendToAll(known, own, nowNanos);
+      loads.peerReports().use(WorkSource.ENTRIES, known);
+      sendToAll(known, loads.ownWork(), nowNanos);
       return;
     }
     Optional<String> hub = hubSelector.hub();
     if (hub.filter(name -> !name.equals(known.self())).isPresent()) {
-      sendIfDue(hub.get(), own, HUB_INTERVAL, nowNanos);
+      loads.peerReports().use(WorkSource.SUMMARY, known);
+      sendIfDue(hub.get(), loads.ownWork(), WorkReport::new, HUB_INTERVAL, nowNanos);
     } else if (hub.isPresent()) {
-      sendAsHub(known, own, nowNanos);
+      loads.peerReports().use(WorkSource.DATA_CENTRES, known);
+      sendAsHub(known, loads.ownWork(), nowNanos);
     }
   }
 
-  private void sendToAll(Members known, WorkReport own, long nowNanos) {
+  private void sendToAll(Members known, ServerWork own, long nowNanos) {
     Set<String> localPeers = known.localPeers();
     for (Member other : known.others()) {
-      boolean localPeer = localPeers.contains(other.name());
-      sendIfDue(
-          other.name(), own, localPeer ? Duration.ZERO : CROSS_DATA_CENTRE_INTERVAL, nowNanos);
+      Duration interval =
+          localPeers.contains(other.name()) ? Duration.ZERO : CROSS_DATA_CENTRE_INTERVAL;
+      sendIfDue(other.name(), own, WorkReport::new, interval, nowNanos);
     }
   }
 
-  private void sendAsHub(Members known, WorkReport own, long nowNanos) {
-    Set<String> localPeers = known.localPeers();
-    for (String localPeer : localPeers) {
-      WorkReport allOthers = own.plus(loads.sumOfEntries(name -> !name.equals(localPeer)));
-      sendIfDue(localPeer, allOthers, HUB_INTERVAL, nowNanos);
-    }
-    WorkReport dataCentreTotal = own.plus(loads.sumOfEntries(localPeers::contains));
-    for (Member hub : known.hubsOfOtherDataCentres()) {
-      sendIfDue(hub.name(), dataCentreTotal, CROSS_DATA_CENTRE_INTERVAL, nowNanos);
+  private void sendAsHub(Members known, ServerWork own, long nowNanos) {
+    PeerWorkReports reports = loads.peerReports();
+    ServerWork all = own.plus(reports.total());
+    for (String localPeer : known.localPeers()) {
+      if (isDue(localPeer, HUB_INTERVAL, nowNanos)) {
+        ServerWork others = all.minus(reports.ofEntry(localPeer));
+        sendIfDue(localPeer, others, WorkSummary::new, HUB_INTERVAL, nowNanos);
+      }
     }
+    String dataCentre = known.localDataCentre();
+    ServerWork ofDataCentre = own.plus(reports.ofLocalPeers());
+    known
+        .remoteMembers()
+        .forEach(
+            (remote, ranked) ->
+                hubsOf(remote, ranked)
+                    .forEach(
+                        hub ->
+                            sendIfDue(
+                                hub,
+                                ofDataCentre,
+                                work -> new DataCentreWork(dataCentre, work),
+                                CROSS_DATA_CENTRE_INTERVAL,
+                                nowNanos)));
+  }
+
+  /** Returns the entry that reports for a data centre, or the likely ones if none does. */
+  private List<String> hubsOf(String dataCentre, List<Member> ranked) {
+    PeerWorkReports reports = loads.peerReports();
+    return reports
+        .activeHub(dataCentre)
+        .map(List::of)
+        .orElseGet(() -> ranked.stream().limit(LIKELY_HUBS).map(Member::name).toList());
+  }
+
+  private boolean isDue(String receiver, Duration minInterval, long nowNanos) {
+    Sent last = sent.get(receiver);
+    return last == null || nowNanos - last.nanos() >= minInterval.toNanos();
   }
 
-  private void sendIfDue(String receiver, WorkReport report, Duration minInterval, long nowNanos) {
+  private void sendIfDue(
+      String receiver,
+      ServerWork work,
+      Function<ServerWork, PeerMessage> message,
+      Duration minInterval,
+      long nowNanos) {
     Sent last = sent.get(receiver);
-    if (last == null && report.equals(EMPTY)) {
+    if (last == null && work.equals(ServerWork.NONE)) {
       return;
     }
     if (last != null) {
-      long elapsed = nowNanos - last.nanos();
-      boolean changed = !report.equals(last.report());
-      boolean refresh = !report.equals(EMPTY) && elapsed >= REFRESH_INTERVAL.toNanos();
-      if (!refresh && !(changed && elapsed >= minInterval.toNanos())) {
+      boolean changed = !work.equals(last.work());
+      boolean refresh =
+          !work.equals(ServerWork.NONE) && isDue(receiver, REFRESH_INTERVAL, nowNanos);
+      if (!refresh && !(changed && isDue(receiver, minInterval, nowNanos))) {
         return;
       }
     }
-    sent.put(receiver, new Sent(report, nowNanos));
-    send.accept(receiver, report);
+    sent.put(receiver, new Sent(work, nowNanos));
+    send.accept(receiver, message.apply(work));
   }
 
-  /** A report and the monotonic time at which it was sent. Immutable. */
-  private record Sent(WorkReport report, long nanos) {}
+  /** Work and the monotonic time at which it was sent. Immutable. */
+  private record Sent(ServerWork work, long nanos) {}
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -20,12 +20,15 @@
 import org.guavagw.gateway.internal.limits.RetryBudget;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.peers.DataCentreWork;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
 import org.guavagw.gateway.internal.peers.WorkReport;
+import org.guavagw.gateway.internal.peers.WorkSummary;
 import org.guavagw.gateway.internal.placement.AffinityPlacer;
 import org.guavagw.gateway.internal.placement.LoadTracker;
+import org.guavagw.gateway.internal.placement.WorkReportReceiver;
 import org.guavagw.gateway.internal.placement.WorkReportSender;
 import org.guavagw.gateway.internal.rollout.RolloutManager;
 import org.guavagw.gateway.internal.rollout.VersionSelector;
@@ -140,13 +143,31 @@
     long reportPeriod = WorkReportSender.PERIOD.toMillis();
     eventLoop.scheduleAtFixedRate(
         () -> sender.tick(ticker.read()), reportPeriod, reportPeriod, TimeUnit.MILLISECONDS);
-    peers.onMessage(
-        WorkReport.class,
-        (from, message) -> loads.onReport(from.memberId(), message, ticker.read()));
+    receiveWorkReports(peers, log, metrics);
     metrics.gauge("requests_in_flight", inFlight::count);
     metrics.gauge("caller_connections", connections::size);
   }
 
+  private void receiveWorkReports(PeerMessenger peers, EventLog log, GatewayMetrics metrics) {
+    WorkReportReceiver receiver =
+        new WorkReportReceiver(loads, this::maxBackendConnections, ticker, log, metrics);
+    peers.onMessage(
+        WorkReport.class, (from, message) -> receiver.onReport(from.memberId(), message));
+    peers.onMessage(
+        DataCentreWork.class,
+        (from, message) -> receiver.onDataCentreWork(from.memberId(), message));
+    peers.onMessage(
+        WorkSummary.class, (from, message) -> receiver.onSummary(from.memberId(), message));
+  }
+
+  private int maxBackendConnections() {
+    return currentView.get().config().stream()
+        .flatMap(c -> c.services().values().stream())
+        .mapToInt(ServiceSpec::maxConnections)
+        .max()
+        .orElse(Integer.MAX_VALUE);
+  }
+
   private double coldRequestsPerSecond(BackendServer server) {
     double toleratedPerSecond =
         currentView
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
@@ -34,10 +34,16 @@
 
   @Test
   void shouldEncodeAndDecodeWorkReportsAndRejections() {
-    WorkReport report = new WorkReport(Map.of("w1", new WorkReport.ServerWork(2, 3.5)));
+    ServerWork work = new ServerWork(Map.of("w1", new ServerWork.Work(2, 3.5)));
+    WorkReport report = new WorkReport(work);
+    DataCentreWork dataCentreWork = new DataCentreWork("dc1", work);
+    WorkSummary summary = new WorkSummary(work);
     RolloutRejection rejection = new RolloutRejection("engine", 9);
 
     assertThat(codec.decode(codec.encode(report), WorkReport.class)).isEqualTo(report);
+    assertThat(codec.decode(codec.encode(dataCentreWork), DataCentreWork.class))
+        .isEqualTo(dataCentreWork);
+    assertThat(codec.decode(codec.encode(summary), WorkSummary.class)).isEqualTo(summary);
     assertThat(codec.decode(codec.encode(rejection), RolloutRejection.class)).isEqualTo(rejection);
   }
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
@@ -1,23 +1,41 @@
 package org.guavagw.gateway.internal.placement;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.peers.DataCentreWork;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
+import org.guavagw.gateway.internal.peers.ServerWork;
+import org.guavagw.gateway.internal.peers.ServerWork.Work;
+import org.guavagw.gateway.internal.peers.WorkReport;
+import org.guavagw.gateway.internal.peers.WorkSummary;
 import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.internal.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 
 class WorkReportSenderTest {
   private static final BackendServer SERVER = Samples.server("w1", "dc1", "v1");
 
+  private static final int MAX_CONNECTIONS = 600;
+
   private final ManualClock clock = new ManualClock();
+  private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+  private final EventLog log =
+      new EventLog("test", InstantSource.system(), new PrintStream(logged, true, UTF_8));
   private final List<Member> all = new ArrayList<>();
   private final List<Entry> entries = new ArrayList<>();
   private int messages;
@@ -99,6 +117,57 @@
     assertThat(entries.get(1).loads.totalInFlight(SERVER)).isZero();
   }
 
+  @Test
+  void shouldNotCountWorkTwiceWhileTwoEntriesOfADataCentreActAsItsHub() {
+    start(20, "dc1");
+    start(20, "dc2");
+    entries.forEach(e -> e.send(1));
+    for (int round = 0; round < 40; round++) {
+      for (int i = 0; i < entries.size(); i += 2) {
+        Entry entry = entries.get(i);
+        entry.hubs.hub().filter(hub -> !hub.equals(entry.name)).ifPresent(entry.hubs::avoid);
+      }
+
+      run(Duration.ofMillis(500));
+
+      entries.forEach(e -> assertThat(e.loads.totalInFlight(SERVER)).isLessThanOrEqualTo(40));
+    }
+  }
+
+  @Test
+  void shouldReachTheHubThatReplacesTheFirstInRankOfAnotherDataCentre() {
+    start(20, "dc1");
+    start(20, "dc2");
+    String first = entries.get(0).hubs.hub().orElseThrow();
+    entries.removeIf(e -> e.name.equals(first));
+    entries.stream().filter(e -> e.name.startsWith("dc1")).forEach(e -> e.hubs.avoid(first));
+    entries.forEach(e -> e.send(1));
+
+    run(Duration.ofSeconds(2));
+
+    entries.forEach(e -> assertThat(e.loads.totalInFlight(SERVER)).isEqualTo(39));
+  }
+
+  @Test
+  void shouldIgnoreAndLogAFigureThatCannotBeTrue() {
+    start(3);
+    Entry receiver = entries.get(0);
+
+    receiver.receive("dc1-1", new WorkReport(work(2 * MAX_CONNECTIONS + 1, 0)));
+    receiver.receive("dc1-1", new WorkReport(work(-1, 0)));
+    receiver.receive("dc1-2", new WorkReport(work(1, Double.NaN)));
+    log.close();
+
+    assertThat(receiver.loads.totalInFlight(SERVER)).isZero();
+    assertThat(logged.toString(UTF_8).lines())
+        .hasSize(3)
+        .allMatch(line -> line.contains("work_report_ignored"));
+  }
+
+  private static ServerWork work(int running, double waitingMillis) {
+    return new ServerWork(Map.of(SERVER.incarnation(), new Work(running, waitingMillis)));
+  }
+
   private void start(int count) {
     start(count, "dc1");
   }
@@ -123,24 +192,38 @@
   private final class Entry {
     private final String name;
     private final LoadTracker loads = new LoadTracker();
+    private final WorkReportReceiver receiver =
+        new WorkReportReceiver(loads, () -> MAX_CONNECTIONS, clock, log, new GatewayMetrics());
+    private final HubSelector hubs;
     private final WorkReportSender sender;
 
     Entry(String name) {
       this.name = name;
       Members members = new Members(name, all);
+      this.hubs = new HubSelector(() -> members, clock);
       this.sender =
           new WorkReportSender(
               loads,
               () -> members,
-              new HubSelector(() -> members, clock),
+              hubs,
               (to, report) -> {
                 messages++;
                 entries.stream()
                     .filter(e -> e.name.equals(to))
-                    .forEach(e -> e.loads.onReport(name, report, clock.read()));
+                    .forEach(e -> e.receive(name, report));
               });
     }
 
+    private void receive(String from, PeerMessage message) {
+      if (message instanceof WorkReport report) {
+        receiver.onReport(from, report);
+      } else if (message instanceof DataCentreWork report) {
+        receiver.onDataCentreWork(from, report);
+      } else if (message instanceof WorkSummary summary) {
+        receiver.onSummary(from, summary);
+      }
+    }
+
     void send(int requests) {
       for (int i = 0; i < requests; i++) {
         var unused = loads.onSent(SERVER, "m", List.of(), 100, 1000);
