Check for callers that left before a lagging entry serves their requests

Cause: a restarted entry reads requests seconds after they were sent. Change: the traffic thread measures its lag, from the opening of the callers' socket on. While it lags, a request is dispatched, and sent on a new connection, only after the sockets have been read once more. A request whose deadline has passed, which its timer may not have noticed yet, is not sent; if it never was, the refusal says so. The lag is a gauge.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/CallerSocket.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/CallerSocket.java
@@ -16,9 +16,11 @@
   private static final int BACKLOG = 1024;
 
   private final ServerSocketChannel channel;
+  private final long listeningSinceNanos;
 
-  private CallerSocket(ServerSocketChannel channel) {
+  private CallerSocket(ServerSocketChannel channel, long listeningSinceNanos) {
     this.channel = channel;
+    this.listeningSinceNanos = listeningSinceNanos;
   }
 
   /** Opens a socket that listens on an address. */
@@ -26,7 +28,7 @@
     ServerSocketChannel channel = ServerSocketChannel.open();
     channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
     channel.bind(address, BACKLOG);
-    return new CallerSocket(channel);
+    return new CallerSocket(channel, System.nanoTime());
   }
 
   /** Returns the channel of the socket; the component that accepts its connections closes it. */
@@ -34,6 +36,11 @@
     return channel;
   }
 
+  /** Returns the monotonic time since which connections may wait in the socket. */
+  public long listeningSinceNanos() {
+    return listeningSinceNanos;
+  }
+
   @Override
   public void close() throws IOException {
     channel.close();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
@@ -6,6 +6,8 @@
   UNREACHABLE(false),
   /** The connection limit of the backend server is reached; nothing was sent. */
   NO_CONNECTION(false),
+  /** The request was no longer to be sent once its connection was open; nothing was sent. */
+  WITHDRAWN(false),
   /** The backend server reports that it did not execute the request. */
   NOT_EXECUTED(false),
   /**
@@ -36,4 +38,14 @@
   boolean mayHaveRun() {
     return mayHaveRun;
   }
+
+  /** Returns whether nothing was sent to the backend server. */
+  boolean unsent() {
+    return this == UNREACHABLE || this == NO_CONNECTION || this == WITHDRAWN;
+  }
+
+  /** Returns whether the attempt does not count towards the maximum attempts of the route. */
+  boolean turnedAway() {
+    return this == NOT_EXECUTED || this == STALE_CONNECTION;
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
@@ -45,10 +45,12 @@
 
   private final Bootstrap bootstrap;
   private final RelayFormat format;
+  private final PendingReadBarrier readBarrier;
   private final Map<String, ServerConnections> connectionsByIncarnation = new HashMap<>();
 
-  BackendConnectionPool(Transport transport, RelayFormat format) {
+  BackendConnectionPool(Transport transport, RelayFormat format, PendingReadBarrier readBarrier) {
     this.format = format;
+    this.readBarrier = readBarrier;
     this.bootstrap =
         transport
             .clientBootstrap()
@@ -106,22 +108,36 @@
     PendingAttempt pending = new PendingAttempt(connecting);
     connecting.addListener(
         f -> {
-          try {
-            if (!f.isSuccess()) {
-              connections.openCount--;
-              pending.onConnectFailed(listener);
-            } else if (pending.cancelled()) {
-              connecting.channel().close();
-            } else {
-              pending.onSent(connection.send(request, listener));
-            }
-          } finally {
+          if (!f.isSuccess()) {
+            connections.openCount--;
+            pending.onConnectFailed(listener);
             request.body().release();
+            return;
           }
+          readBarrier.run(() -> sendOn(connection, pending, request, listener));
         });
     return pending;
   }
 
+  private static void sendOn(
+      BackendConnection connection,
+      PendingAttempt pending,
+      OutgoingRequest request,
+      AttemptListener listener) {
+    try {
+      if (pending.cancelled()) {
+        connection.close();
+      } else if (request.stillWanted().getAsBoolean()) {
+        pending.onSent(connection.send(request, listener));
+      } else {
+        connection.addToIdle();
+        listener.onFailed(AttemptFailure.WITHDRAWN);
+      }
+    } finally {
+      request.body().release();
+    }
+  }
+
   private ChannelFuture open(BackendServer server, BackendConnection connection) {
     return bootstrap
         .clone()
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -48,9 +48,8 @@
   private ChannelHandlerContext context;
   private HttpRequest head;
   private CallerRequest caller;
-  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private final BodyBuffer body = new BodyBuffer();
   private boolean malformed;
-  private boolean tooLarge;
   private long arrivedNanos;
   private Exchange exchange;
   private boolean answerPending;
@@ -81,7 +80,6 @@
     queued.forEach(ReferenceCountUtil::release);
     queued.clear();
     body.release();
-    body = Unpooled.EMPTY_BUFFER;
     if (exchange != null) {
       exchange.onCallerDisconnected();
     }
@@ -136,7 +134,6 @@
     head = request;
     arrivedNanos = shared.exchangeDependencies().ticker().read();
     keepAlive = HttpUtil.isKeepAlive(request);
-    tooLarge = false;
     startIdleTimer(limits().headerTimeout().toMillis());
     Either<String, CallerRequest> decoded = shared.exchangeDependencies().format().decode(request);
     malformed = decoded.isLeft() || hasAmbiguousLength(request);
@@ -165,14 +162,7 @@
     if (chunk.isReadable()) {
       startIdleTimer(limits().idleTimeout().toMillis());
     }
-    if (body.readableBytes() + chunk.readableBytes() > limits().maxBodyBytes()) {
-      tooLarge = true;
-    } else if (chunk.isReadable()) {
-      if (body.maxCapacity() == 0) {
-        body = context.alloc().buffer(chunk.readableBytes());
-      }
-      body.writeBytes(chunk, chunk.readerIndex(), chunk.readableBytes());
-    }
+    body.add(chunk, context.alloc(), limits().maxBodyBytes());
     if (content instanceof LastHttpContent) {
       onRequestComplete();
     }
@@ -183,9 +173,18 @@
     answerPending = true;
     HttpRequest completeHead = head;
     head = null;
-    ByteBuf completeBody = body;
-    body = Unpooled.EMPTY_BUFFER;
-    Either<Refusal, AdmissionCheck.Admission> admission = checkAdmission(completeHead);
+    boolean tooLarge = body.isTooLarge();
+    ByteBuf completeBody = body.take();
+    shared.readBarrier().run(() -> serve(completeHead, completeBody, tooLarge));
+  }
+
+  private void serve(HttpRequest completeHead, ByteBuf completeBody, boolean tooLarge) {
+    if (closing) {
+      completeBody.release();
+      shared.log().event("caller_left_before_dispatch").with("id", callerId()).write();
+      return;
+    }
+    Either<Refusal, AdmissionCheck.Admission> admission = checkAdmission(completeHead, tooLarge);
     if (admission.isLeft()) {
       completeBody.release();
       logRefusal(completeHead, admission.getLeft());
@@ -208,7 +207,8 @@
     exchange.start();
   }
 
-  private Either<Refusal, AdmissionCheck.Admission> checkAdmission(HttpRequest request) {
+  private Either<Refusal, AdmissionCheck.Admission> checkAdmission(
+      HttpRequest request, boolean tooLarge) {
     if (malformed) {
       keepAlive = false;
       return Either.left(
@@ -236,7 +236,7 @@
     shared
         .log()
         .failure("request_refused")
-        .with("id", caller == null ? "" : caller.id())
+        .with("id", callerId())
         .with("target", request.uri())
         .with("status", refusal.code().httpStatus())
         .with("reason", refusal.reason())
@@ -246,6 +246,10 @@
     shared.exchangeDependencies().metrics().onRefused(refusal.code().wireName());
   }
 
+  private String callerId() {
+    return caller == null ? "" : caller.id();
+  }
+
   private void onExchangeDone() {
     exchange = null;
     shared.inFlight().end();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnectionDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnectionDependencies.java
@@ -15,6 +15,7 @@
     ExchangeDependencies exchangeDependencies,
     Supplier<CallerLimits> limits,
     Set<CallerConnection> connections,
+    PendingReadBarrier readBarrier,
     GracefulShutdown shutdown,
     InFlightRequests inFlight,
     EventLog log) {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
@@ -20,10 +20,12 @@
       new WriteBufferWaterMark(32 * 1024, 64 * 1024);
 
   private final Channel channel;
+  private final long listeningSinceNanos;
   private volatile CallerConnectionDependencies shared;
 
   /** Creates a server on a listening socket, whose connections wait until the server is opened. */
   public CallerServer(Transport transport, CallerSocket socket) {
+    this.listeningSinceNanos = socket.listeningSinceNanos();
     this.channel =
         transport
             .serverBootstrap(socket.channel())
@@ -55,6 +57,10 @@
     }
   }
 
+  long listeningSinceNanos() {
+    return listeningSinceNanos;
+  }
+
   InetSocketAddress address() {
     return (InetSocketAddress) channel.localAddress();
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -98,6 +98,10 @@
 
   private void dispatch() {
     long now = shared.ticker().read();
+    if (isOver(now)) {
+      onTimeout();
+      return;
+    }
     ControlView view = shared.currentView().get();
     Optional<BackendServer> chosen = planner.selectServer(model, triedIncarnations, now);
     if (chosen.isEmpty()) {
@@ -113,6 +117,11 @@
     startAttempt(view, chosen.get(), now);
   }
 
+  /** Returns whether the deadline has passed; its timer may not have run yet. */
+  private boolean isOver(long now) {
+    return plan.deadlineNanos() - now <= 0;
+  }
+
   private void startAttempt(ControlView view, BackendServer chosen, long now) {
     triedIncarnations.add(chosen.incarnation());
     Optional<ServiceSpec> spec =
@@ -199,7 +208,8 @@
         shared.format().attemptHeaders(request.head(), head),
         request.body(),
         request.chunked(),
-        !request.route().safeToRetry());
+        !request.route().safeToRetry(),
+        () -> !done && !isOver(shared.ticker().read()));
   }
 
   void onAnswerStarted(AnswerHead answer) {
@@ -347,23 +357,12 @@
     }
     long now = shared.ticker().read();
     log.attemptFailed(progress.server(), failure, eventsForwarded, progress.sentNanos());
-    switch (failure) {
-      case UNREACHABLE, SILENT -> shared.loads().onUnreachable(progress.server(), now);
-      case LATE ->
-          outcomes.reportLate(
-              progress.server(), model, (now - progress.sentNanos()) / (double) NANOS_PER_MILLI);
-      case STALE_CONNECTION -> {
-        turnedAway++;
-        triedIncarnations.remove(progress.server().incarnation());
-      }
-      case NO_CONNECTION -> {
-        // not a failure of the backend server
-      }
-      case NOT_EXECUTED -> {
-        turnedAway++;
-        shared.loads().onOutcome(progress.server(), false, now);
-      }
-      default -> outcomes.reportFailure(progress.server());
+    outcomes.reportAttemptFailure(progress, model, failure, now);
+    if (failure.turnedAway()) {
+      turnedAway++;
+    }
+    if (failure == AttemptFailure.STALE_CONNECTION) {
+      triedIncarnations.remove(progress.server().incarnation());
     }
     if (failure.mayHaveRun()) {
       provenNotRun = false;
@@ -384,7 +383,7 @@
   }
 
   private boolean mayRetry(AttemptFailure failure, long now) {
-    if (failure == AttemptFailure.UNREACHABLE || failure == AttemptFailure.NO_CONNECTION) {
+    if (failure.unsent()) {
       return true;
     }
     if (executedAttempts >= request.route().maxAttempts() || turnedAway > MAX_TURNED_AWAY) {
@@ -441,10 +440,15 @@
       provenNotRun = false;
     }
     refuse(
-        Refusal.of(
-            RefusalCode.DEADLINE_PASSED,
-            RunState.UNKNOWN,
-            "the answer was not complete before the deadline"));
+        provenNotRun
+            ? Refusal.notRun(
+                RefusalCode.OVERLOADED,
+                "the request could not be sent to a backend server before its deadline",
+                RetryAfterDelays.OTHER_ENTRY)
+            : Refusal.of(
+                RefusalCode.DEADLINE_PASSED,
+                RunState.UNKNOWN,
+                "the answer was not complete before the deadline"));
   }
 
   /** Ends the exchange because the caller has disconnected. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
@@ -9,6 +9,8 @@
  * thread only.
  */
 final class OutcomeReporter {
+  private static final double NANOS_PER_MILLI = 1_000_000;
+
   private final ExchangeDependencies shared;
   private final Route route;
   private final RequestPlan plan;
@@ -39,12 +41,27 @@
    *
    * @param millis time for which the attempt waited for its answer to begin
    */
-  void reportLate(BackendServer server, Optional<String> model, double millis) {
+  private void reportLate(BackendServer server, Optional<String> model, double millis) {
     shared
         .rollouts()
         .onSuccess(plan.service(), server.version(), route.name(), workloadName(model), millis);
   }
 
+  /** Reports an attempt that ended without a usable answer. */
+  void reportAttemptFailure(
+      AttemptProgress attempt, Optional<String> model, AttemptFailure failure, long now) {
+    BackendServer server = attempt.server();
+    switch (failure) {
+      case UNREACHABLE, SILENT -> shared.loads().onUnreachable(server, now);
+      case LATE -> reportLate(server, model, (now - attempt.sentNanos()) / NANOS_PER_MILLI);
+      case NOT_EXECUTED -> shared.loads().onOutcome(server, false, now);
+      case STALE_CONNECTION, NO_CONNECTION, WITHDRAWN -> {
+        // not a failure of the backend server
+      }
+      default -> reportFailure(server);
+    }
+  }
+
   private String workloadName(Optional<String> model) {
     return route.name() + model.map(m -> "/" + m).orElse("");
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutgoingRequest.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutgoingRequest.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.function.BooleanSupplier;
 
 /**
  * A request as it is sent to a backend server.
@@ -11,6 +12,8 @@
  * @param body owned by the exchange; the pool retains it while it is being sent
  * @param chunked whether to use chunked transfer encoding
  * @param requiresNewConnection whether the request must not reuse a connection
+ * @param stillWanted whether the request is still to be sent; asked at the last moment before it is
+ *     sent on a new connection
  */
 record OutgoingRequest(
     String id,
@@ -19,4 +22,5 @@
     HttpHeaders headers,
     ByteBuf body,
     boolean chunked,
-    boolean requiresNewConnection) {}
+    boolean requiresNewConnection,
+    BooleanSupplier stillWanted) {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -97,7 +97,9 @@
     this.shutdown = new GracefulShutdown(ticker);
     this.ticker = ticker;
     this.eventLoop = transport.group().next();
-    this.pool = closer.register(new BackendConnectionPool(transport, format));
+    EventLoopLag lag = new EventLoopLag(callerServer.listeningSinceNanos());
+    PendingReadBarrier readBarrier = new PendingReadBarrier(eventLoop, lag, ticker);
+    this.pool = closer.register(new BackendConnectionPool(transport, format, readBarrier));
     ColdStartLimiter coldStartLimiter = new ColdStartLimiter(this::coldRequestsPerSecond);
     VersionSelector versions = new VersionSelector(settings.sessionTimeout(), rollouts);
     BackendSelector selector =
@@ -127,27 +129,40 @@
     Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     CallerConnectionDependencies connectionDependencies =
         new CallerConnectionDependencies(
-            exchangeDependencies, this::callerLimits, connections, shutdown, inFlight, log);
+            exchangeDependencies,
+            this::callerLimits,
+            connections,
+            readBarrier,
+            shutdown,
+            inFlight,
+            log);
     this.callerServer = callerServer;
-    currentView
-        .whenReady()
-        .thenRunAsync(() -> callerServer.open(connectionDependencies), eventLoop);
-    eventLoop.schedule(
-        () -> callerServer.open(connectionDependencies),
-        MAX_STARTUP_WAIT.toMillis(),
-        TimeUnit.MILLISECONDS);
+    openWhenReady(connectionDependencies);
     long cleanupPeriod = CLEANUP_PERIOD.toMillis();
     eventLoop.scheduleAtFixedRate(
         this::removeStaleState, cleanupPeriod, cleanupPeriod, TimeUnit.MILLISECONDS);
     WorkReportSender sender = new WorkReportSender(loads, members, hubSelector, peers::send);
     long reportPeriod = WorkReportSender.PERIOD.toMillis();
     eventLoop.scheduleAtFixedRate(
-        () -> sender.tick(ticker.read()), reportPeriod, reportPeriod, TimeUnit.MILLISECONDS);
+        () -> tick(lag, sender), reportPeriod, reportPeriod, TimeUnit.MILLISECONDS);
     receiveWorkReports(peers, log, metrics);
     metrics.gauge("requests_in_flight", inFlight::count);
+    metrics.gauge("event_loop_lag_ms", () -> lag.recent(ticker.read()).toMillis());
     metrics.gauge("caller_connections", connections::size);
   }
 
+  private void openWhenReady(CallerConnectionDependencies dependencies) {
+    Runnable open = () -> callerServer.open(dependencies);
+    currentView.whenReady().thenRunAsync(open, eventLoop);
+    eventLoop.schedule(open, MAX_STARTUP_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private void tick(EventLoopLag lag, WorkReportSender sender) {
+    long now = ticker.read();
+    lag.tick(now);
+    sender.tick(now);
+  }
+
   private void receiveWorkReports(PeerMessenger peers, EventLog log, GatewayMetrics metrics) {
     WorkReportReceiver receiver =
         new WorkReportReceiver(loads, this::maxBackendConnections, ticker, log, metrics);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RetryAfterDelays.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RetryAfterDelays.java
@@ -13,5 +13,8 @@
   /** A retry reaches another entry. */
   static final Duration SHUTTING_DOWN = Duration.ofMillis(50);
 
+  /** This entry was too slow; a retry reaches another one. */
+  static final Duration OTHER_ENTRY = Duration.ofMillis(50);
+
   private RetryAfterDelays() {}
 }
