Keep away from backend servers that are leaving or ask for a pause

Cause: answers of backend servers may say that they are leaving, or, with a 503, how long they want nothing. Neither was read: work went on to a leaving incarnation until the store's list changed, and a server that asked for a pause was asked again at once. Change: the adapter decodes both; LeavingServers and ServerPauses decide, without a network. A leaving incarnation gets nothing more from the entry that read it, nor from the others, which learn it with the work reports, whatever its registration says. In a pause nothing goes to a server; after it one request at a time until one is executed, and entries end their pauses at different times. Both are also checked after a connection was opened, before the request goes out. If all servers of a service are in a pause, the caller is told when the first is back. Neither header reaches a caller as the gateway's own. The refusals of an admitted request moved to a class of their own.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
@@ -1,19 +1,23 @@
 package org.guavagw.gateway.internal.peers;
 
+import com.google.common.collect.Sets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * Work at backend servers. Immutable.
+ * Work at backend servers, and which of them are leaving. Immutable.
  *
  * @param byIncarnation work by incarnation, without backend servers that have none
+ * @param leaving incarnations that said of late that they are leaving
  */
-public record ServerWork(Map<String, Work> byIncarnation) {
+public record ServerWork(Map<String, Work> byIncarnation, Set<String> leaving) {
   /** No work at any backend server. */
-  public static final ServerWork NONE = new ServerWork(Map.of());
+  public static final ServerWork NONE = new ServerWork(Map.of(), Set.of());
 
   public ServerWork {
     byIncarnation = Map.copyOf(byIncarnation);
+    leaving = Set.copyOf(leaving);
   }
 
   /** Returns the work at a backend server. */
@@ -25,16 +29,16 @@
   public ServerWork plus(ServerWork other) {
     Map<String, Work> sum = new HashMap<>(byIncarnation);
     other.byIncarnation.forEach((incarnation, work) -> sum.merge(incarnation, work, Work::plus));
-    return new ServerWork(sum);
+    return new ServerWork(sum, Sets.union(leaving, other.leaving));
   }
 
-  /** Returns this work without a part of it. */
+  /** Returns this work without a part of it; all leaving incarnations stay. */
   public ServerWork minus(ServerWork part) {
     Map<String, Work> rest = new HashMap<>(byIncarnation);
     part.byIncarnation.forEach(
         (incarnation, work) ->
             rest.computeIfPresent(incarnation, (i, all) -> all.minus(work).orNullIfNone()));
-    return new ServerWork(rest);
+    return new ServerWork(rest, leaving);
   }
 
   /**
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
@@ -81,8 +81,8 @@
     return peerReports;
   }
 
-  /** Returns the work of this entry. */
-  public ServerWork ownWork() {
+  /** Returns the work of this entry, with the leaving incarnations that it tells of. */
+  public ServerWork ownWork(Set<String> leaving) {
     Map<String, Work> work = new HashMap<>();
     loads.forEach(
         (incarnation, load) -> {
@@ -90,7 +90,7 @@
             work.put(incarnation, new Work(load.inFlight(), load.pendingPrefillMillis()));
           }
         });
-    return new ServerWork(work);
+    return new ServerWork(work, leaving);
   }
 
   /** Records that an attempt was sent and returns the estimate of its prefill. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportReceiver.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportReceiver.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.IntSupplier;
+import org.guavagw.gateway.internal.limits.ServerAvailability;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
@@ -13,7 +14,7 @@
 import org.guavagw.gateway.internal.peers.WorkSummary;
 
 /**
- * Takes the work that other entries report into the load of backend servers.
+ * Takes what other entries report of backend servers into their load and availability.
  *
  * <p>A message with a figure that cannot be true is logged, counted and not used. Confined to the
  * traffic thread.
@@ -29,6 +30,7 @@
   private static final double MAX_WAITING_MILLIS = Duration.ofHours(1).toMillis();
 
   private final PeerWorkReports reports;
+  private final ServerAvailability availability;
   private final IntSupplier maxConnections;
   private final Ticker ticker;
   private final EventLog log;
@@ -41,11 +43,13 @@
    */
   public WorkReportReceiver(
       LoadTracker loads,
+      ServerAvailability availability,
       IntSupplier maxConnections,
       Ticker ticker,
       EventLog log,
       GatewayMetrics metrics) {
     this.reports = loads.peerReports();
+    this.availability = availability;
     this.maxConnections = maxConnections;
     this.ticker = ticker;
     this.log = log;
@@ -56,6 +60,7 @@
   public void onReport(String entry, WorkReport report) {
     if (isPlausible(entry, report.work())) {
       reports.onReport(entry, report, ticker.read());
+      learnLeaving(entry, report.work());
     }
   }
 
@@ -63,6 +68,7 @@
   public void onDataCentreWork(String hub, DataCentreWork report) {
     if (isPlausible(hub, report.work())) {
       reports.onDataCentreWork(hub, report, ticker.read());
+      learnLeaving(hub, report.work());
     }
   }
 
@@ -70,9 +76,14 @@
   public void onSummary(String hub, WorkSummary summary) {
     if (isPlausible(hub, summary.work())) {
       reports.onSummary(hub, summary, ticker.read());
+      learnLeaving(hub, summary.work());
     }
   }
 
+  private void learnLeaving(String sender, ServerWork work) {
+    availability.onReport(sender, work.leaving(), ticker.read());
+  }
+
   private boolean isPlausible(String sender, ServerWork work) {
     long maxRunning = (long) maxConnections.getAsInt() * MAX_REQUESTS_PER_CONNECTION;
     Optional<String> implausible =
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
 import org.guavagw.gateway.internal.peers.HubSelector;
@@ -51,40 +52,45 @@
   private final LoadTracker loads;
   private final Supplier<Members> members;
   private final HubSelector hubSelector;
+  private final LongFunction<Set<String>> leaving;
   private final BiConsumer<String, PeerMessage> send;
   private final Map<String, Sent> sent = new HashMap<>();
 
   /**
    * Creates a sender.
    *
+   * @param leaving returns the leaving incarnations to tell of at a monotonic time
    * @param send sends a report to an entry
    */
   public WorkReportSender(
       LoadTracker loads,
       Supplier<Members> members,
       HubSelector hubSelector,
+      LongFunction<Set<String>> leaving,
       BiConsumer<String, PeerMessage> send) {
     this.loads = loads;
     this.members = members;
     this.hubSelector = hubSelector;
+    this.leaving = leaving;
     this.send = send;
   }
 
   /** Sends the reports that are due. */
   public void tick(long nowNanos) {
     Members known = members.get();
+    ServerWork own = loads.ownWork(leaving.apply(nowNanos));
     if (known.all().size() <= MAX_MESH_ENTRIES) {
       loads.peerReports().use(WorkSource.ENTRIES, known);
-      sendToAll(known, loads.ownWork(), nowNanos);
+      sendToAll(known, own, nowNanos);
       return;
     }
     Optional<String> hub = hubSelector.hub();
     if (hub.filter(name -> !name.equals(known.self())).isPresent()) {
       loads.peerReports().use(WorkSource.SUMMARY, known);
-      sendIfDue(hub.get(), loads.ownWork(), WorkReport::new, HUB_INTERVAL, nowNanos);
+      sendIfDue(hub.get(), own, WorkReport::new, HUB_INTERVAL, nowNanos);
     } else if (hub.isPresent()) {
       loads.peerReports().use(WorkSource.DATA_CENTRES, known);
-      sendAsHub(known, loads.ownWork(), nowNanos);
+      sendAsHub(known, own, nowNanos);
     }
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
@@ -1,5 +1,6 @@
 package org.guavagw.gateway.internal.relay;
 
+import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
 import org.guavagw.gateway.internal.cascade.AttemptEstimate;
@@ -36,6 +37,16 @@
             now);
   }
 
+  /** Returns when a caller should retry if no backend server can take its request now. */
+  Duration retryDelay(boolean turnedAway, long now) {
+    Duration unknown =
+        turnedAway ? RetryAfterDelays.ALL_BACKEND_SERVERS_FULL : RetryAfterDelays.NO_BACKEND_SERVER;
+    return shared
+        .selector()
+        .untilFirstPauseEnds(shared.currentView().get(), plan.service(), now)
+        .orElse(unknown);
+  }
+
   /** Returns the estimated time until a backend server would begin to answer. */
   double expectedMillis(BackendServer server, String model) {
     CallerRequest caller = request.caller();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BufferedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BufferedAnswerForwarder.java
@@ -28,7 +28,7 @@
   @Override
   public void onHead(HttpResponse head, AnswerHead decoded) {
     answer = decoded;
-    headers = HopByHopHeaders.strip(head.headers());
+    headers = exchange.callerHeaders(head);
     exchange.onAnswerStarted(decoded);
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -10,8 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.Refusal;
-import org.guavagw.RefusalCode;
-import org.guavagw.RunState;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.placement.PrefillEstimate;
 import org.guavagw.gateway.model.BackendServer;
@@ -105,13 +103,7 @@
     ControlView view = shared.currentView().get();
     Optional<BackendServer> chosen = planner.selectServer(model, triedIncarnations, now);
     if (chosen.isEmpty()) {
-      refuse(
-          Refusal.notRun(
-              RefusalCode.NO_BACKEND,
-              "no backend server of the service can accept the request",
-              turnedAway > 0
-                  ? RetryAfterDelays.ALL_BACKEND_SERVERS_FULL
-                  : RetryAfterDelays.NO_BACKEND_SERVER));
+      refuse(ExchangeRefusals.noBackendServer(planner.retryDelay(turnedAway > 0, now)));
       return;
     }
     startAttempt(view, chosen.get(), now);
@@ -122,11 +114,17 @@
     return plan.deadlineNanos() - now <= 0;
   }
 
+  private boolean isStillWanted(BackendServer chosen) {
+    long now = shared.ticker().read();
+    return !done && !isOver(now) && shared.availability().accepts(chosen, now);
+  }
+
   private void startAttempt(ControlView view, BackendServer chosen, long now) {
     triedIncarnations.add(chosen.incarnation());
     Optional<ServiceSpec> spec =
         view.config().flatMap(c -> Optional.ofNullable(c.services().get(plan.service())));
     shared.coldStartLimiter().onSent(chosen, now);
+    shared.availability().onSent(chosen, now);
     long cacheTokens = spec.flatMap(ServiceSpec::engine).map(EngineSpec::cacheTokens).orElse(0L);
     double pendingPrefillMillis = shared.loads().totalPendingPrefillMillis(chosen);
     PrefillEstimate prefill =
@@ -209,11 +207,13 @@
         request.body(),
         request.chunked(),
         !request.route().safeToRetry(),
-        () -> !done && !isOver(shared.ticker().read()));
+        () -> isStillWanted(chosen));
   }
 
   void onAnswerStarted(AnswerHead answer) {
-    progress.onReceived(shared.ticker().read());
+    long now = shared.ticker().read();
+    progress.onReceived(now);
+    shared.availability().onAnswer(progress.server(), answer, now);
     if (!answer.notExecuted()) {
       progress.onAnswerStarted();
       countAsExecuted();
@@ -276,10 +276,15 @@
   private void startAnswerOnce(HttpResponse head) {
     if (!streamStarted) {
       streamStarted = true;
-      sink.startChunked(head.status().code(), HopByHopHeaders.strip(head.headers()));
+      sink.startChunked(head.status().code(), callerHeaders(head));
     }
   }
 
+  /** Returns the headers of an answer that the caller gets. */
+  HttpHeaders callerHeaders(HttpResponse head) {
+    return shared.format().callerHeaders(head);
+  }
+
   private Optional<String> strongerModel(String weaker, AnswerHead answer) {
     return shared
         .models()
@@ -372,13 +377,11 @@
     }
     endAttempt();
     if (failure.mayHaveRun() && !request.route().safeToRetry()) {
-      refuse(
-          Refusal.of(
-              RefusalCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, "the answer was lost: " + failure));
+      refuse(ExchangeRefusals.answerLost(failure));
     } else if (mayRetry(failure, now)) {
       dispatch();
     } else {
-      refuseAfterFailure(failure);
+      refuseAfterFailure(failure, now);
     }
   }
 
@@ -400,28 +403,15 @@
         && shared.retryBudgets().apply(plan.service()).tryRetry(shared.ticker().read());
   }
 
-  private void refuseAfterFailure(AttemptFailure failure) {
-    if (provenNotRun) {
-      refuse(
-          Refusal.notRun(
-              RefusalCode.OVERLOADED,
-              "backend servers turned the request away",
-              RetryAfterDelays.ALL_BACKEND_SERVERS_FULL));
-    } else {
-      refuse(
-          Refusal.of(
-              RefusalCode.BACKEND_FAILED, RunState.UNKNOWN, "the last attempt failed: " + failure));
-    }
+  private void refuseAfterFailure(AttemptFailure failure, long now) {
+    refuse(
+        provenNotRun
+            ? ExchangeRefusals.turnedAway(planner.retryDelay(true, now))
+            : ExchangeRefusals.failed(failure));
   }
 
   private void refuse(Refusal refusal) {
-    Refusal adjusted =
-        provenNotRun
-            ? refusal
-            : Refusal.of(
-                refusal.code().httpStatus() == 503 ? RefusalCode.BACKEND_FAILED : refusal.code(),
-                RunState.UNKNOWN,
-                refusal.reason());
+    Refusal adjusted = ExchangeRefusals.withProof(refusal, provenNotRun);
     end(adjusted.code().wireName() + ": " + adjusted.reason(), adjusted.code().httpStatus());
     if (streamStarted) {
       sink.abort();
@@ -439,16 +429,7 @@
       attempt.cancel();
       provenNotRun = false;
     }
-    refuse(
-        provenNotRun
-            ? Refusal.notRun(
-                RefusalCode.OVERLOADED,
-                "the request could not be sent to a backend server before its deadline",
-                RetryAfterDelays.OTHER_ENTRY)
-            : Refusal.of(
-                RefusalCode.DEADLINE_PASSED,
-                RunState.UNKNOWN,
-                "the answer was not complete before the deadline"));
+    refuse(ExchangeRefusals.deadlinePassed(provenNotRun));
   }
 
   /** Ends the exchange because the caller has disconnected. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
@@ -8,6 +8,7 @@
 import org.guavagw.gateway.internal.control.CurrentControlView;
 import org.guavagw.gateway.internal.limits.ColdStartLimiter;
 import org.guavagw.gateway.internal.limits.RetryBudget;
+import org.guavagw.gateway.internal.limits.ServerAvailability;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.Members;
@@ -30,6 +31,7 @@
     RolloutManager rollouts,
     LoadTracker loads,
     ColdStartLimiter coldStartLimiter,
+    ServerAvailability availability,
     Function<String, RetryBudget> retryBudgets,
     ModelSelector models,
     RelayFormat format,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
@@ -17,7 +18,10 @@
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.control.CurrentControlView;
 import org.guavagw.gateway.internal.limits.ColdStartLimiter;
+import org.guavagw.gateway.internal.limits.LeavingServers;
 import org.guavagw.gateway.internal.limits.RetryBudget;
+import org.guavagw.gateway.internal.limits.ServerAvailability;
+import org.guavagw.gateway.internal.limits.ServerPauses;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
@@ -28,6 +32,7 @@
 import org.guavagw.gateway.internal.peers.WorkSummary;
 import org.guavagw.gateway.internal.placement.AffinityPlacer;
 import org.guavagw.gateway.internal.placement.LoadTracker;
+import org.guavagw.gateway.internal.placement.Placer;
 import org.guavagw.gateway.internal.placement.WorkReportReceiver;
 import org.guavagw.gateway.internal.placement.WorkReportSender;
 import org.guavagw.gateway.internal.rollout.RolloutManager;
@@ -66,6 +71,7 @@
   private final Supplier<Members> members;
   private final Ticker ticker;
   private final LoadTracker loads = new LoadTracker();
+  private final ServerAvailability availability;
   private final BackendConnectionPool pool;
   private final ReachabilityChecker reachability;
   private final CallerServer callerServer;
@@ -100,11 +106,14 @@
     EventLoopLag lag = new EventLoopLag(callerServer.listeningSinceNanos());
     PendingReadBarrier readBarrier = new PendingReadBarrier(eventLoop, lag, ticker);
     this.pool = closer.register(new BackendConnectionPool(transport, format, readBarrier));
+    ServerPauses pauses = new ServerPauses(() -> ThreadLocalRandom.current().nextDouble());
+    this.availability = new ServerAvailability(new LeavingServers(), pauses, log);
     ColdStartLimiter coldStartLimiter = new ColdStartLimiter(this::coldRequestsPerSecond);
     VersionSelector versions = new VersionSelector(settings.sessionTimeout(), rollouts);
+    Placer placer = new AffinityPlacer(loads);
     BackendSelector selector =
         new BackendSelector(
-            versions, coldStartLimiter, new AffinityPlacer(loads), settings.dataCentre());
+            versions, coldStartLimiter, availability, placer, settings.dataCentre());
     Map<String, RetryBudget> retryBudgets = new HashMap<>();
     this.reachability = new ReachabilityChecker(pool::checkReachable);
     ExchangeDependencies exchangeDependencies =
@@ -116,6 +125,7 @@
             rollouts,
             loads,
             coldStartLimiter,
+            availability,
             service -> retryBudgets.computeIfAbsent(service, s -> newRetryBudget(settings)),
             models,
             format,
@@ -138,25 +148,31 @@
             log);
     this.callerServer = callerServer;
     openWhenReady(connectionDependencies);
-    long cleanupPeriod = CLEANUP_PERIOD.toMillis();
-    eventLoop.scheduleAtFixedRate(
-        this::removeStaleState, cleanupPeriod, cleanupPeriod, TimeUnit.MILLISECONDS);
-    WorkReportSender sender = new WorkReportSender(loads, members, hubSelector, peers::send);
-    long reportPeriod = WorkReportSender.PERIOD.toMillis();
-    eventLoop.scheduleAtFixedRate(
-        () -> tick(lag, sender), reportPeriod, reportPeriod, TimeUnit.MILLISECONDS);
+    runEvery(CLEANUP_PERIOD, this::removeStaleState);
+    reportWork(peers, hubSelector, lag);
     receiveWorkReports(peers, log, metrics);
-    metrics.gauge("requests_in_flight", inFlight::count);
     metrics.gauge("event_loop_lag_ms", () -> lag.recent(ticker.read()).toMillis());
+    metrics.gauge("requests_in_flight", inFlight::count);
     metrics.gauge("caller_connections", connections::size);
   }
 
+  private void runEvery(Duration period, Runnable task) {
+    long millis = period.toMillis();
+    eventLoop.scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
+  }
+
   private void openWhenReady(CallerConnectionDependencies dependencies) {
     Runnable open = () -> callerServer.open(dependencies);
     currentView.whenReady().thenRunAsync(open, eventLoop);
     eventLoop.schedule(open, MAX_STARTUP_WAIT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
+  private void reportWork(PeerMessenger peers, HubSelector hubSelector, EventLoopLag lag) {
+    WorkReportSender sender =
+        new WorkReportSender(loads, members, hubSelector, availability::leavingToTell, peers::send);
+    runEvery(WorkReportSender.PERIOD, () -> tick(lag, sender));
+  }
+
   private void tick(EventLoopLag lag, WorkReportSender sender) {
     long now = ticker.read();
     lag.tick(now);
@@ -165,7 +181,8 @@
 
   private void receiveWorkReports(PeerMessenger peers, EventLog log, GatewayMetrics metrics) {
     WorkReportReceiver receiver =
-        new WorkReportReceiver(loads, this::maxBackendConnections, ticker, log, metrics);
+        new WorkReportReceiver(
+            loads, availability, this::maxBackendConnections, ticker, log, metrics);
     peers.onMessage(
         WorkReport.class, (from, message) -> receiver.onReport(from.memberId(), message));
     peers.onMessage(
@@ -216,6 +233,7 @@
     pool.retain(incarnations);
     reachability.retain(incarnations);
     loads.retain(incarnations, ticker.read());
+    availability.retain(incarnations, ticker.read());
   }
 
   /** Returns the address that callers connect to. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/AnswerHead.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/AnswerHead.java
@@ -1,5 +1,7 @@
 package org.guavagw.gateway.spi;
 
+import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
@@ -11,6 +13,9 @@
  * @param confidence confidence of the model in its answer, in percent
  * @param encoded whether the body has a content encoding, which the gateway does not request
  * @param keepAliveSeconds maximum idle time of the connection
+ * @param leaving whether the backend server says that it is about to stop
+ * @param retryAfter time for which the backend server wants no further request from this entry
+ * @param unreadableRetryAfter such a time that cannot be read, as it was received
  */
 public record AnswerHead(
     int status,
@@ -19,7 +24,10 @@
     boolean notExecuted,
     OptionalInt confidence,
     boolean encoded,
-    OptionalInt keepAliveSeconds) {
+    OptionalInt keepAliveSeconds,
+    boolean leaving,
+    Optional<Duration> retryAfter,
+    Optional<String> unreadableRetryAfter) {
 
   /** Returns whether the status is in the 2xx range. */
   public boolean success() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/RelayFormat.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/RelayFormat.java
@@ -15,4 +15,10 @@
 
   /** Decodes the head of a backend server's answer. */
   AnswerHead answer(HttpResponse head);
+
+  /**
+   * Returns the headers of a backend server's answer that are passed on to the caller, without
+   * those for framing and without what the backend server says to the gateway only.
+   */
+  HttpHeaders callerHeaders(HttpResponse answer);
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/Samples.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/Samples.java
@@ -12,6 +12,7 @@
 import org.guavagw.gateway.model.RouteKind;
 import org.guavagw.gateway.model.ServiceShare;
 import org.guavagw.gateway.model.Team;
+import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.CallerRequest;
 import org.guavagw.gateway.spi.PromptPart;
 
@@ -66,6 +67,44 @@
         coldUntilNanos);
   }
 
+  /** Returns the same backend server after a restart. */
+  public static BackendServer restarted(BackendServer server) {
+    return new BackendServer(
+        server.id(),
+        server.service(),
+        server.address(),
+        server.dataCentre(),
+        server.version(),
+        server.slots(),
+        server.draining(),
+        server.startedMillis() + 1,
+        server.coldUntilNanos());
+  }
+
+  /** Returns a successful answer of a backend server that is leaving. */
+  public static AnswerHead leavingAnswer() {
+    return answer(200, true, Optional.empty());
+  }
+
+  /** Returns an answer of a backend server that turned a request away and wants a pause. */
+  public static AnswerHead pauseAnswer(Duration pause) {
+    return answer(503, false, Optional.of(pause));
+  }
+
+  private static AnswerHead answer(int status, boolean leaving, Optional<Duration> retryAfter) {
+    return new AnswerHead(
+        status,
+        "r",
+        true,
+        status == 503,
+        OptionalInt.empty(),
+        false,
+        OptionalInt.empty(),
+        leaving,
+        retryAfter,
+        Optional.empty());
+  }
+
   /** Returns a request with a prompt. */
   public static CallerRequest request(String id, PromptPart... prompt) {
     List<PromptPart> parts = List.of(prompt);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
 import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerCodec;
@@ -34,7 +35,7 @@
 
   @Test
   void shouldEncodeAndDecodeWorkReportsAndRejections() {
-    ServerWork work = new ServerWork(Map.of("w1", new ServerWork.Work(2, 3.5)));
+    ServerWork work = new ServerWork(Map.of("w1", new ServerWork.Work(2, 3.5)), Set.of("w2"));
     WorkReport report = new WorkReport(work);
     DataCentreWork dataCentreWork = new DataCentreWork("dc1", work);
     WorkSummary summary = new WorkSummary(work);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
@@ -16,6 +16,9 @@
 import net.jqwik.api.constraints.IntRange;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.limits.LeavingServers;
+import org.guavagw.gateway.internal.limits.ServerAvailability;
+import org.guavagw.gateway.internal.limits.ServerPauses;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
@@ -117,8 +120,11 @@
     private final LoadTracker loads = new LoadTracker();
     private final HubSelector hubs;
     private final WorkReportSender sender;
+    private final ServerAvailability availability =
+        new ServerAvailability(new LeavingServers(), new ServerPauses(() -> 0), log);
     private final WorkReportReceiver receiver =
-        new WorkReportReceiver(loads, () -> MAX_CONNECTIONS, clock, log, new GatewayMetrics());
+        new WorkReportReceiver(
+            loads, availability, () -> MAX_CONNECTIONS, clock, log, new GatewayMetrics());
     private final Deque<Sample> samples = new ArrayDeque<>();
     private int requests;
     private int step;
@@ -127,7 +133,8 @@
       this.name = name;
       Members known = new Members(name, members);
       this.hubs = new HubSelector(() -> known, clock);
-      this.sender = new WorkReportSender(loads, () -> known, hubs, this::send);
+      this.sender =
+          new WorkReportSender(loads, () -> known, hubs, availability::leavingToTell, this::send);
     }
 
     private void send(String to, PeerMessage message) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
@@ -13,6 +13,9 @@
 import java.util.Set;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.limits.LeavingServers;
+import org.guavagw.gateway.internal.limits.ServerAvailability;
+import org.guavagw.gateway.internal.limits.ServerPauses;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
@@ -164,8 +167,20 @@
         .allMatch(line -> line.contains("work_report_ignored"));
   }
 
+  @Test
+  void shouldTellAllEntriesOfABackendServerThatIsLeaving() {
+    start(20, "dc1");
+    start(20, "dc2");
+    entries.get(0).availability.onAnswer(SERVER, Samples.leavingAnswer(), clock.read());
+
+    run(Duration.ofSeconds(1));
+
+    entries.forEach(
+        e -> assertThat(e.availability.allows(SERVER, clock.read())).as(e.name).isFalse());
+  }
+
   private static ServerWork work(int running, double waitingMillis) {
-    return new ServerWork(Map.of(SERVER.incarnation(), new Work(running, waitingMillis)));
+    return new ServerWork(Map.of(SERVER.incarnation(), new Work(running, waitingMillis)), Set.of());
   }
 
   private void start(int count) {
@@ -192,8 +207,11 @@
   private final class Entry {
     private final String name;
     private final LoadTracker loads = new LoadTracker();
+    private final ServerAvailability availability =
+        new ServerAvailability(new LeavingServers(), new ServerPauses(() -> 0), log);
     private final WorkReportReceiver receiver =
-        new WorkReportReceiver(loads, () -> MAX_CONNECTIONS, clock, log, new GatewayMetrics());
+        new WorkReportReceiver(
+            loads, availability, () -> MAX_CONNECTIONS, clock, log, new GatewayMetrics());
     private final HubSelector hubs;
     private final WorkReportSender sender;
 
@@ -206,6 +224,7 @@
               loads,
               () -> members,
               hubs,
+              availability::leavingToTell,
               (to, report) -> {
                 messages++;
                 entries.stream()
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendSelectorTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendSelectorTest.java
@@ -6,7 +6,9 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
+import java.io.PrintStream;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +18,10 @@
 import org.guavagw.gateway.internal.control.Orders;
 import org.guavagw.gateway.internal.control.Orders.ObservedRollout;
 import org.guavagw.gateway.internal.limits.ColdStartLimiter;
+import org.guavagw.gateway.internal.limits.LeavingServers;
+import org.guavagw.gateway.internal.limits.ServerAvailability;
+import org.guavagw.gateway.internal.limits.ServerPauses;
+import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.placement.AffinityPlacer;
 import org.guavagw.gateway.internal.placement.LoadTracker;
 import org.guavagw.gateway.internal.rollout.RolloutProgress;
@@ -31,10 +37,15 @@
 class BackendSelectorTest {
   private static final long COLD_UNTIL = Duration.ofSeconds(10).toNanos();
   private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter(s -> 1);
+  private final EventLog log =
+      new EventLog("test", InstantSource.system(), new PrintStream(PrintStream.nullOutputStream()));
+  private final ServerAvailability availability =
+      new ServerAvailability(new LeavingServers(), new ServerPauses(() -> 0), log);
   private final BackendSelector selector =
       new BackendSelector(
           new VersionSelector(Duration.ofSeconds(5), new FinishedRolloutProgress()),
           coldStartLimiter,
+          availability,
           new AffinityPlacer(new LoadTracker()),
           "here");
 
@@ -75,6 +86,31 @@
     assertThat(select(view, "s")).contains(oldServer);
   }
 
+  @Test
+  void shouldExcludeAnIncarnationThatSaidThatItIsLeavingWhateverItsRegistrationSays() {
+    BackendServer leaving = Samples.server("w1", "here", "v1");
+    availability.onAnswer(leaving, Samples.leavingAnswer(), 0);
+
+    assertThat(select(view(List.of(leaving), Map.of(), Map.of(), Set.of()), "s")).isEmpty();
+    BackendServer restarted = Samples.restarted(leaving);
+    assertThat(select(view(List.of(restarted), Map.of(), Map.of(), Set.of()), "s"))
+        .contains(restarted);
+  }
+
+  @Test
+  void shouldTellWhenTheFirstPausedServerIsBackIfAllAreInAPause() {
+    BackendServer first = Samples.server("w1", "here", "v1");
+    BackendServer second = Samples.server("w2", "here", "v1");
+    ControlView view = view(List.of(first, second), Map.of(), Map.of(), Set.of());
+    availability.onAnswer(first, Samples.pauseAnswer(Duration.ofSeconds(3)), 0);
+    assertThat(selector.untilFirstPauseEnds(view, "engine", 0)).isEmpty();
+    assertThat(select(view, "s")).contains(second);
+
+    availability.onAnswer(second, Samples.pauseAnswer(Duration.ofSeconds(2)), 0);
+    assertThat(select(view, "s")).isEmpty();
+    assertThat(selector.untilFirstPauseEnds(view, "engine", 0)).contains(Duration.ofSeconds(2));
+  }
+
   private Optional<BackendServer> select(ControlView view, String session) {
     AdmittedRequest request =
         new AdmittedRequest(
