--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.guavagw.gateway.internal.control.MemberTable;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
+import org.guavagw.gateway.internal.peers.ConfigQuery;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
@@ -108,6 +109,7 @@
             new ControlPlane(
                 store, format, state, members, currentView, hubs, peers, controlLoop, clocks, log));
     peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
+    peers.onRequest(ConfigQuery.class, (from, query) -> plane.onQuery(query));
     this.metricsServer = serveMonitoring(traffic, metrics, members, plane);
     plane.start();
     rollouts.start();
@@ -122,6 +124,7 @@
     metrics.gauge("backend_servers_draining", () -> countBackendServers(true));
     metrics.gauge("entries", () -> members.current().all().size());
     metrics.gauge("follows_hub", () -> plane.followsHub() ? 1 : 0);
+    metrics.gauge("store_restores", plane::storeRestores);
     metrics.gauge("log_lines_dropped", log::droppedLines);
     metrics.gauge(
         "heap_used_bytes",
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -5,7 +5,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicLong;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.peers.ConfigQuery;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.PeerClient;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
@@ -53,9 +55,14 @@
   private final MemberTable memberTable;
   private final ScheduledExecutorService control;
   private final StoreHealth health;
+  private final List<TableReplica> replicas;
   private final List<TablePoller> pollers;
   private final ReplicaServer replicaServer;
   private final HubFollower hubFollower;
+  private final StoreEra era;
+  private final ConfigExchange configExchange;
+  private final EventLog log;
+  private final AtomicLong restores = new AtomicLong();
 
   /** Creates a control plane that is idle until {@link #start}. */
   public ControlPlane(
@@ -72,18 +79,23 @@
     this.state = state;
     this.memberTable = memberTable;
     this.control = control;
+    this.log = log;
     this.health = new StoreHealth(format.ordersTable());
+    this.era = new StoreEra(this::onStoreRestored);
+    this.configExchange =
+        new ConfigExchange(state, memberTable::current, peers, control, clocks.monotonic(), log);
     TableReplica orders = new TableReplica(format.ordersTable(), state.ordersListener());
     TableReplica backends = new TableReplica(format.backendsTable(), state.backendsListener());
     TableReplica status = new TableReplica(format.statusTable(), state.statusListener());
     TableReplica members = new TableReplica(format.membersTable(), memberTable);
-    List<TableReplica> replicas = List.of(orders, backends, status, members);
+    this.replicas = List.of(orders, backends, status, members);
     this.replicaServer =
         new ReplicaServer(
             replicas,
             orders,
             health,
             state::lapsesExpected,
+            state::configMissingInStore,
             this::refreshOrders,
             currentView,
             control,
@@ -99,18 +111,22 @@
         new PollTiming(() -> MEMBERS_POLL_TIMEOUT, () -> MEMBERS_BATCH_DELAY);
     this.pollers =
         List.of(
-            new TablePoller(orders, ordersTiming, store, health, this, control, clocks, log),
-            new TablePoller(backends, backendsTiming, store, health, this, control, clocks, log),
-            new TablePoller(status, statusTiming, store, health, this, control, clocks, log),
-            new TablePoller(members, membersTiming, store, health, this, control, clocks, log));
+            new TablePoller(orders, ordersTiming, store, health, era, this, control, clocks, log),
+            new TablePoller(
+                backends, backendsTiming, store, health, era, this, control, clocks, log),
+            new TablePoller(status, statusTiming, store, health, era, this, control, clocks, log),
+            new TablePoller(
+                members, membersTiming, store, health, era, this, control, clocks, log));
     this.hubFollower =
         new HubFollower(
             replicas,
+            era,
             hubSelector,
             peers,
             () -> pollers.forEach(TablePoller::start),
             () -> pollers.forEach(TablePoller::stop),
             () -> state.storeRecovered(false),
+            row -> state.onPeerConfig(row, clocks.monotonic().read()),
             control,
             clocks,
             log);
@@ -130,6 +146,34 @@
   /** Starts replicating the tables. */
   public void start() {
     control.execute(hubFollower::start);
+    memberTable.whenKnown().thenRunAsync(configExchange::ask, control);
+  }
+
+  /** Returns how often the store was restored from a copy since this process started. */
+  public long storeRestores() {
+    return restores.get();
+  }
+
+  private void onStoreRestored(long previousEra) {
+    restores.incrementAndGet();
+    log.event("store_restored")
+        .with("from_era", previousEra)
+        .with("to_era", era.current())
+        .with("config_in_force", state.configVersion())
+        .with("newest_version_before", newestVersion())
+        .write();
+    state.storeRestored();
+    pollers.forEach(TablePoller::reload);
+    configExchange.ask();
+  }
+
+  private long newestVersion() {
+    return replicas.stream().mapToLong(TableReplica::version).max().orElse(0);
+  }
+
+  /** Answers the query of another entry for the configuration in force. */
+  public CompletionStage<PeerMessage> onQuery(ConfigQuery query) {
+    return configExchange.onQuery(query);
   }
 
   /**
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -15,7 +15,6 @@
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.GatewayConfig;
 import org.guavagw.gateway.model.RolloutOrder;
-import org.guavagw.gateway.model.RolloutStatus;
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlRow;
 import org.guavagw.gateway.spi.StoredRow;
@@ -26,7 +25,8 @@
  * immutable views.
  *
  * <p>Invariants: within one process the configuration never goes back to an older version; if the
- * stored configuration is missing or unreadable, the one in force stays.
+ * stored configuration is missing or unreadable, the one in force stays. What a store lost when it
+ * was restored from a copy stays known until it is written again or its time is over.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class ControlState {
@@ -36,17 +36,21 @@
    */
   private static final Duration LAPSE_GRACE = Duration.ofMillis(2200);
 
+  /** Time within which operators have written again what a restored store lost. */
+  private static final Duration REWRITE_GRACE = Duration.ofSeconds(10);
+
   private final ControlFormat format;
   private final ScheduledExecutorService control;
   private final CurrentControlView currentView;
   private final EventLog log;
   private final Clocks clocks;
   private final Map<String, BackendServer> backends = new HashMap<>();
-  private final Map<String, Orders.ObservedRollout> rollouts = new HashMap<>();
-  private final Map<String, String> serviceByRolloutKey = new HashMap<>();
-  private final Map<String, RolloutStatus> statuses = new HashMap<>();
-  private final Map<String, String> evacuatedByKey = new HashMap<>();
+  private final DepartedServers departed = new DepartedServers();
+  private final ObservedOrders orders = new ObservedOrders();
+  private final ReportedStatuses statuses = new ReportedStatuses();
   private Optional<GatewayConfig> config = Optional.empty();
+  private Optional<StoredRow> configRow = Optional.empty();
+  private long storedConfigVersion = Long.MIN_VALUE;
   private RouteTable routes = new RouteTable(List.of());
   private final Set<String> lapsed = new HashSet<>();
   private boolean storeFailing;
@@ -72,12 +76,17 @@
     return new TableListener() {
       @Override
       public void onSnapshot(List<StoredRow> rows, long nowNanos) {
-        Map<String, Orders.ObservedRollout> earlier = new HashMap<>(rollouts);
-        rollouts.clear();
-        serviceByRolloutKey.clear();
-        evacuatedByKey.clear();
-        rows.forEach(row -> applyOrder(row, nowNanos));
-        earlier.forEach(ControlState.this::restoreFirstSeen);
+        orders.replace(() -> rows.forEach(row -> applyOrder(row, nowNanos)));
+        publish();
+      }
+
+      @Override
+      public void onRestored(List<StoredRow> rows, long nowNanos) {
+        storedConfigVersion = Long.MIN_VALUE;
+        int retained = orders.restore(() -> rows.forEach(row -> applyOrder(row, nowNanos)));
+        logRestored(format.ordersTable(), rows, retained);
+        control.schedule(
+            ControlState.this::dropRetained, REWRITE_GRACE.toMillis(), TimeUnit.MILLISECONDS);
         publish();
       }
 
@@ -94,7 +103,10 @@
 
       @Override
       public void onChecked(ClockReading at) {
-        currentView.recordOrdersCheck(at);
+        // An older configuration in a restored store does not prove that keys are current.
+        if (storedConfigVersion >= configVersion()) {
+          currentView.recordOrdersCheck(at);
+        }
       }
     };
   }
@@ -110,9 +122,20 @@
         onChanges(rows, nowNanos);
       }
 
+      @Override
+      public void onRestored(List<StoredRow> rows, long nowNanos) {
+        Set<String> missing = new HashSet<>(backends.keySet());
+        rows.forEach(row -> missing.remove(row.key()));
+        missing.forEach(id -> removeBackend(id));
+        rows.forEach(row -> applyBackend(row, nowNanos, true));
+        logRestored(format.backendsTable(), rows, missing.size());
+        publish();
+      }
+
       @Override
       public void onChanges(List<StoredRow> rows, long nowNanos) {
-        rows.forEach(row -> applyBackend(row, nowNanos));
+        rows.forEach(row -> applyBackend(row, nowNanos, false));
+        departed.expire(nowNanos);
         publish();
       }
     };
@@ -122,8 +145,15 @@
     return new TableListener() {
       @Override
       public void onSnapshot(List<StoredRow> rows, long nowNanos) {
-        statuses.clear();
-        onChanges(rows, nowNanos);
+        statuses.replace(() -> rows.forEach(row -> applyStatus(row, nowNanos)));
+        publish();
+      }
+
+      @Override
+      public void onRestored(List<StoredRow> rows, long nowNanos) {
+        int lost = statuses.restore(() -> rows.forEach(row -> applyStatus(row, nowNanos)));
+        logRestored(format.statusTable(), rows, lost);
+        publish();
       }
 
       @Override
@@ -163,36 +193,83 @@
         || (lapseGraceStarted && lapseGraceEndNanos - clocks.monotonic().read() > 0);
   }
 
-  private void restoreFirstSeen(String service, Orders.ObservedRollout earlier) {
-    rollouts.computeIfPresent(
-        service, (s, now) -> now.order().revision() == earlier.order().revision() ? earlier : now);
+  /** Records that the store was restored from a copy, which lacks what was written last. */
+  void storeRestored() {
+    storeRecovered(storeFailing);
+  }
+
+  private void logRestored(String table, List<StoredRow> rows, int retained) {
+    log.event("table_restored")
+        .with("table", table)
+        .with("rows", rows.size())
+        .with("kept_though_missing", retained)
+        .with("config_in_force", configVersion())
+        .with("config_in_store", storedConfigVersion)
+        .write();
+  }
+
+  /** Drops the orders that the operators did not write again after the store was restored. */
+  private void dropRetained() {
+    Set<String> dropped = orders.dropRetained();
+    for (String key : dropped) {
+      log.event("order_removed").with("row", key).with("reason", "not written again").write();
+    }
+    if (!dropped.isEmpty()) {
+      publish();
+    }
+  }
+
+  /** Returns the row of the configuration in force if it is newer than a version. */
+  List<StoredRow> configNewerThan(long version) {
+    return configVersion() > version ? configRow.stream().toList() : List.of();
+  }
+
+  /** Returns the row of the configuration in force if the store has an older one. */
+  List<StoredRow> configMissingInStore() {
+    return configNewerThan(storedConfigVersion);
+  }
+
+  /** Returns the version of the configuration in force. */
+  long configVersion() {
+    return config.map(GatewayConfig::version).orElse(Long.MIN_VALUE);
+  }
+
+  /** Puts the configuration of another entry in force if it is newer than the one of this entry. */
+  void onPeerConfig(StoredRow row, long nowNanos) {
+    ControlRow decoded = format.decode(format.ordersTable(), row, nowNanos);
+    if (decoded instanceof ControlRow.Configuration c) {
+      applyConfig(c.config(), row);
+      publish();
+    } else {
+      logUnreadable(format.ordersTable(), row, decoded);
+    }
   }
 
   private void applyOrder(StoredRow row, long nowNanos) {
     if (row.removed()) {
-      evacuatedByKey.remove(row.key());
-      Optional.ofNullable(serviceByRolloutKey.remove(row.key())).ifPresent(rollouts::remove);
+      orders.onRemoved(row.key());
       log.event("order_removed").with("row", row.key()).with("version", row.version()).write();
       return;
     }
     ControlRow decoded = format.decode(format.ordersTable(), row, nowNanos);
     if (decoded instanceof ControlRow.Configuration c) {
-      applyConfig(c.config());
+      storedConfigVersion = c.config().version();
+      applyConfig(c.config(), row);
     } else if (decoded instanceof ControlRow.Rollout r) {
       applyRollout(row.key(), r.order(), nowNanos);
     } else if (decoded instanceof ControlRow.Evacuation e) {
-      evacuatedByKey.put(row.key(), e.dataCentre());
+      orders.onEvacuation(row.key(), e.dataCentre());
       log.event("evacuation").with("data_centre", e.dataCentre()).write();
     } else {
       logUnreadable(format.ordersTable(), row, decoded);
     }
   }
 
-  private void applyConfig(GatewayConfig next) {
-    long currentVersion = config.map(GatewayConfig::version).orElse(Long.MIN_VALUE);
-    if (next.version() <= currentVersion) {
+  private void applyConfig(GatewayConfig next, StoredRow row) {
+    if (next.version() <= configVersion()) {
       return;
     }
+    configRow = Optional.of(row);
     config = Optional.of(next);
     routes = new RouteTable(next.routes());
     log.event("config_in_force")
@@ -203,8 +280,7 @@
   }
 
   private void applyRollout(String key, RolloutOrder order, long nowNanos) {
-    serviceByRolloutKey.put(key, order.service());
-    rollouts.put(order.service(), new Orders.ObservedRollout(order, nowNanos));
+    orders.onRollout(key, order, nowNanos);
     log.event("rollout_ordered")
         .with("service", order.service())
         .with("to", order.toVersion())
@@ -212,7 +288,7 @@
         .write();
   }
 
-  private void applyBackend(StoredRow row, long nowNanos) {
+  private void applyBackend(StoredRow row, long nowNanos, boolean fromCopy) {
     if (row.removed()) {
       removeBackend(row.key());
       return;
@@ -225,6 +301,11 @@
       return;
     }
     BackendServer next = b.server();
+    if (next.draining()) {
+      departed.onDraining(next.incarnation(), nowNanos);
+    } else if (!departed.mayServe(next.incarnation(), fromCopy)) {
+      next = next.asDraining();
+    }
     BackendServer earlier = backends.put(row.key(), next);
     if (earlier == null
         || earlier.draining() != next.draining()
@@ -250,17 +331,24 @@
       log.event("backend_lapsed").with("backend", id).write();
       return;
     }
-    backends.remove(id);
+    remove(id);
     log.event("backend_gone").with("backend", id).write();
   }
 
+  private void remove(String id) {
+    BackendServer removed = backends.remove(id);
+    if (removed != null) {
+      departed.onGone(removed.incarnation(), clocks.monotonic().read());
+    }
+  }
+
   /** Removes backend servers that did not register again in time. */
   private void removeLapsed() {
     if (lapsesExpected()) {
       return;
     }
     for (String id : lapsed) {
-      backends.remove(id);
+      remove(id);
       log.event("backend_gone").with("backend", id).with("reason", "registration lapsed").write();
     }
     if (!lapsed.isEmpty()) {
@@ -271,12 +359,12 @@
 
   private void applyStatus(StoredRow row, long nowNanos) {
     if (row.removed()) {
-      statuses.values().removeIf(s -> format.rolloutStatusKey(s.service()).equals(row.key()));
+      statuses.byService().keySet().removeIf(s -> format.rolloutStatusKey(s).equals(row.key()));
       return;
     }
     ControlRow decoded = format.decode(format.statusTable(), row, nowNanos);
     if (decoded instanceof ControlRow.Status s) {
-      statuses.put(s.status().service(), s.status());
+      statuses.put(s.status());
       log.event("rollout_state")
           .with("service", s.status().service())
           .with("to", s.status().toVersion())
@@ -302,7 +390,7 @@
       byService.computeIfAbsent(server.service(), s -> new ArrayList<>()).add(server);
     }
     byService.replaceAll((service, list) -> List.copyOf(list));
-    Orders orders = new Orders(rollouts, statuses, Set.copyOf(evacuatedByKey.values()));
-    currentView.publish(new ControlView(config, routes, byService, orders, backendsKnown));
+    Orders published = new Orders(orders.rollouts(), statuses.byService(), orders.evacuated());
+    currentView.publish(new ControlView(config, routes, byService, published, backendsKnown));
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/CurrentControlView.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/CurrentControlView.java
@@ -42,7 +42,7 @@
 
   /** Returns whether the view has all that is needed to handle requests. */
   public boolean isReady() {
-    return view.config().isPresent() && view.backendsKnown();
+    return view.config().isPresent() && view.backendsKnown() && lastOrdersCheck != null;
   }
 
   /**
@@ -66,6 +66,10 @@
 
   void publish(ControlView next) {
     view = next;
+    completeIfReady();
+  }
+
+  private void completeIfReady() {
     if (isReady()) {
       whenReady.complete(null);
     }
@@ -76,6 +80,7 @@
     ClockReading last = lastOrdersCheck;
     if (last == null || at.nanos() - last.nanos() > 0) {
       lastOrdersCheck = at;
+      completeIfReady();
     }
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.PeerClient;
@@ -14,6 +15,7 @@
 import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
 import org.guavagw.gateway.spi.RowBatch;
+import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerMessage;
 import org.guavagw.internal.time.Clocks;
 
@@ -48,12 +50,17 @@
   /** How often an entry without a hub looks for one. */
   private static final Duration SEARCH_PERIOD = Duration.ofSeconds(2);
 
+  /** Sent in place of an era by which no replica's version can be understood. */
+  private static final long DIFFERENT_ERAS = -1;
+
   private final List<TableReplica> replicas;
+  private final StoreEra era;
   private final HubSelector hubSelector;
   private final PeerClient peers;
   private final Runnable startStorePolling;
   private final Runnable stopStorePolling;
   private final Runnable onLapsesExpected;
+  private final Consumer<StoredRow> onNewerConfig;
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final EventLog log;
@@ -66,23 +73,28 @@
    * @param stopStorePolling stops polling the store
    * @param onLapsesExpected called when registrations of backend servers may have lapsed because of
    *     a store outage
+   * @param onNewerConfig receives the row of a configuration that the restored store lacks
    */
   HubFollower(
       List<TableReplica> replicas,
+      StoreEra era,
       HubSelector hubSelector,
       PeerClient peers,
       Runnable startStorePolling,
       Runnable stopStorePolling,
       Runnable onLapsesExpected,
+      Consumer<StoredRow> onNewerConfig,
       ScheduledExecutorService control,
       Clocks clocks,
       EventLog log) {
     this.replicas = replicas;
+    this.era = era;
     this.hubSelector = hubSelector;
     this.peers = peers;
     this.startStorePolling = startStorePolling;
     this.stopStorePolling = stopStorePolling;
     this.onLapsesExpected = onLapsesExpected;
+    this.onNewerConfig = onNewerConfig;
     this.control = control;
     this.clocks = clocks;
     this.log = log;
@@ -118,20 +130,30 @@
     replicas.forEach(r -> versions.put(r.table(), r.version()));
     ClockReading sentAt = ClockReading.now(clocks);
     peers
-        .request(hub, new ReplicaQuery(versions), QUERY_TIMEOUT)
+        .request(hub, new ReplicaQuery(commonEra(), versions), QUERY_TIMEOUT)
         .whenCompleteAsync((answer, failure) -> onAnswer(hub, sentAt, answer, failure), control);
   }
 
+  private long commonEra() {
+    long first = replicas.get(0).era();
+    return replicas.stream().allMatch(r -> r.era() == first) ? first : DIFFERENT_ERAS;
+  }
+
   private void onAnswer(String hub, ClockReading sentAt, PeerMessage message, Throwable failure) {
     if (!(message instanceof ReplicaAnswer answer)) {
       abandonHub(hub, String.valueOf(failure == null ? "refused" : failure.getMessage()));
       return;
     }
+    if (!era.observe(answer.era())) {
+      abandonHub(hub, "its era of the store is " + answer.era() + " instead of " + era.current());
+      return;
+    }
     ClockReading checkedAt = sentAt.plus(Duration.ofNanos(answer.checkedAfterNanos()));
     if (answer.lapsesExpected()) {
       onLapsesExpected.run();
     }
-    answer.tables().forEach(t -> applyUpdate(t, answer.storeMillis(), checkedAt));
+    answer.tables().forEach(t -> applyUpdate(answer, t, checkedAt));
+    answer.newerConfig().forEach(onNewerConfig);
     Duration age = checkedAt.age(clocks);
     if (age.compareTo(MAX_ORDERS_AGE) > 0) {
       abandonHub(hub, "its orders are " + age.toMillis() + " ms old");
@@ -145,8 +167,9 @@
     search();
   }
 
-  private void applyUpdate(TableUpdate update, long storeMillis, ClockReading checkedAt) {
-    RowBatch batch = new RowBatch(update.rows(), update.version(), storeMillis);
+  private void applyUpdate(ReplicaAnswer answer, TableUpdate update, ClockReading checkedAt) {
+    RowBatch batch =
+        new RowBatch(update.rows(), answer.era(), update.version(), answer.storeMillis());
     long now = clocks.monotonic().read();
     for (TableReplica replica : replicas) {
       if (!replica.table().equals(update.table())) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberTable.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberTable.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -12,6 +13,7 @@
 import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlStore;
+import org.guavagw.gateway.spi.RowVersion;
 import org.guavagw.gateway.spi.StoredRow;
 
 /**
@@ -33,6 +35,7 @@
   private final Consumer<Members> listener;
   private final Map<String, Member> membersByName = new HashMap<>();
   private volatile Members members;
+  private final CompletableFuture<Void> whenKnown = new CompletableFuture<>();
   private boolean registering;
   private long ownVersion;
 
@@ -69,6 +72,14 @@
     onChanges(rows, nowNanos);
   }
 
+  @Override
+  public void onRestored(List<StoredRow> rows, long nowNanos) {
+    // Other entries that the copy lacks register again; until then they still share the limits.
+    membersByName.remove(self.name());
+    ownVersion = 0;
+    onChanges(rows, nowNanos);
+  }
+
   @Override
   public void onChanges(List<StoredRow> rows, long nowNanos) {
     rows.forEach(this::applyRow);
@@ -96,14 +107,23 @@
     }
     members = new Members(self.name(), List.copyOf(membersByName.values()));
     listener.accept(members);
+    whenKnown.complete(null);
+  }
+
+  /** Returns a future that completes when this entry first sees its own registration. */
+  CompletableFuture<Void> whenKnown() {
+    return whenKnown;
   }
 
   private void register() {
     registering = true;
     store
-        .putIf(format.membersTable(), self.name(), MemberRowCodec.encode(self), ownVersion)
+        .putIf(
+            new RowVersion(format.membersTable(), self.name(), ownVersion),
+            MemberRowCodec.encode(self),
+            List.of())
         .whenComplete(
-            (revision, failure) -> {
+            (era, failure) -> {
               if (failure == null) {
                 registering = false;
                 return;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
@@ -8,9 +8,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
+import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerMessage;
 import org.guavagw.internal.time.Clocks;
 
@@ -34,6 +36,7 @@
   private final TableReplica orders;
   private final StoreHealth health;
   private final BooleanSupplier lapsesExpected;
+  private final Supplier<List<StoredRow>> newerConfig;
   private final Runnable onFirstFollower;
   private final CurrentControlView currentView;
   private final ScheduledExecutorService control;
@@ -45,6 +48,7 @@
   /**
    * Creates a server.
    *
+   * @param newerConfig returns the row of the configuration in force if the store has an older one
    * @param onFirstFollower called when this entry gets its first follower and so needs newer orders
    */
   ReplicaServer(
@@ -52,6 +56,7 @@
       TableReplica orders,
       StoreHealth health,
       BooleanSupplier lapsesExpected,
+      Supplier<List<StoredRow>> newerConfig,
       Runnable onFirstFollower,
       CurrentControlView currentView,
       ScheduledExecutorService control,
@@ -60,6 +65,7 @@
     this.orders = orders;
     this.health = health;
     this.lapsesExpected = lapsesExpected;
+    this.newerConfig = newerConfig;
     this.onFirstFollower = onFirstFollower;
     this.currentView = currentView;
     this.control = control;
@@ -79,7 +85,7 @@
     queried = true;
     lastQueryNanos = arrivedAt.nanos();
     PendingQuery pending = new PendingQuery(query, arrivedAt, new CompletableFuture<>());
-    if (!canAnswer()) {
+    if (!canAnswer(query)) {
       pending.answer().complete(null);
     } else if (hasUpdate(pending)) {
       pending.answer().complete(answerTo(pending));
@@ -108,17 +114,23 @@
 
   private void complete(PendingQuery pending) {
     if (pendingQueries.remove(pending)) {
-      pending.answer().complete(canAnswer() ? answerTo(pending) : null);
+      pending.answer().complete(canAnswer(pending.query()) ? answerTo(pending) : null);
     }
   }
 
-  private boolean canAnswer() {
-    return !health.isFailing() && replicas.stream().allMatch(TableReplica::isLoaded);
+  private boolean canAnswer(ReplicaQuery query) {
+    return !health.isFailing()
+        && query.era() <= orders.era()
+        && replicas.stream().allMatch(r -> r.isLoaded() && r.era() == orders.era());
   }
 
   private boolean hasUpdate(PendingQuery pending) {
     return checkedAfter(pending) >= 0
-        || replicas.stream().anyMatch(r -> r.changedSince(pending.query().versionOf(r.table())));
+        || replicas.stream().anyMatch(r -> hasUpdate(r, pending.query()));
+  }
+
+  private static boolean hasUpdate(TableReplica replica, ReplicaQuery query) {
+    return replica.changedSince(query.era(), query.versionOf(replica.table()));
   }
 
   /**
@@ -132,10 +144,18 @@
   }
 
   private ReplicaAnswer answerTo(PendingQuery pending) {
-    List<TableUpdate> updates =
-        replicas.stream().map(r -> r.updateSince(pending.query().versionOf(r.table()))).toList();
+    List<TableUpdate> updates = replicas.stream().map(r -> update(r, pending.query())).toList();
     return new ReplicaAnswer(
-        checkedAfter(pending), currentView.storeMillis(), lapsesExpected.getAsBoolean(), updates);
+        orders.era(),
+        checkedAfter(pending),
+        currentView.storeMillis(),
+        lapsesExpected.getAsBoolean(),
+        updates,
+        newerConfig.get());
+  }
+
+  private static TableUpdate update(TableReplica replica, ReplicaQuery query) {
+    return replica.updateSince(query.era(), query.versionOf(replica.table()));
   }
 
   private long nowNanos() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableListener.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableListener.java
@@ -8,6 +8,14 @@
   /** Called with the whole table as of one moment. */
   void onSnapshot(List<StoredRow> rows, long nowNanos);
 
+  /**
+   * Called with the whole table after the store was restored from a copy: what was written last may
+   * be missing.
+   */
+  default void onRestored(List<StoredRow> rows, long nowNanos) {
+    onSnapshot(rows, nowNanos);
+  }
+
   /** Called with the rows that changed, in the order of their versions. */
   void onChanges(List<StoredRow> rows, long nowNanos);
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.control;
 
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -45,6 +46,7 @@
   private final PollTiming timing;
   private final ControlStore store;
   private final StoreHealth health;
+  private final StoreEra era;
   private final StoreListener listener;
   private final ScheduledExecutorService control;
   private final Clocks clocks;
@@ -60,6 +62,7 @@
       PollTiming timing,
       ControlStore store,
       StoreHealth health,
+      StoreEra era,
       StoreListener listener,
       ScheduledExecutorService control,
       Clocks clocks,
@@ -68,6 +71,7 @@
     this.timing = timing;
     this.store = store;
     this.health = health;
+    this.era = era;
     this.listener = listener;
     this.control = control;
     this.clocks = clocks;
@@ -111,16 +115,24 @@
     }
   }
 
+  /** Reads the whole table anew, because the store was restored. */
+  void reload() {
+    if (running) {
+      generation++;
+      call();
+    }
+  }
+
   private void call() {
     ClockReading sentAt = ClockReading.now(clocks);
     long callGeneration = generation;
-    if (replica.isLoaded() && !historyLost) {
+    if (replica.isLoaded() && !historyLost && replica.era() == era.current()) {
       Duration timeout = catchingUp ? IMMEDIATE_POLL_TIMEOUT : timing.timeout();
       store
           .changesSince(replica.table(), replica.version(), timeout)
           .whenComplete(
               (batch, failure) -> {
-                if (callGeneration == generation) {
+                if (isExpected(callGeneration, batch, failure)) {
                   onChanges(sentAt, timeout, batch, failure);
                 }
               });
@@ -129,13 +141,39 @@
           .readAll(replica.table())
           .whenComplete(
               (batch, failure) -> {
-                if (callGeneration == generation) {
+                if (isExpected(callGeneration, batch, failure)) {
                   onSnapshot(sentAt, batch, failure);
                 }
               });
     }
   }
 
+  /**
+   * Takes note of the era of an answer and returns whether the answer is to be used. A rise of the
+   * era reloads all tables, which ends this call.
+   */
+  private boolean isExpected(long callGeneration, RowBatch batch, Throwable failure) {
+    OptionalLong answered = batch == null ? eraOf(failure) : OptionalLong.of(batch.era());
+    boolean newest = answered.isEmpty() || era.observe(answered.getAsLong());
+    if (callGeneration != generation) {
+      return false;
+    }
+    if (!newest) {
+      log.event("stale_answer_ignored")
+          .with("table", replica.table())
+          .with("era", answered.getAsLong())
+          .with("newest_era", era.current())
+          .write();
+      callAfter(RETRY_PAUSE);
+    }
+    return newest;
+  }
+
+  private static OptionalLong eraOf(Throwable failure) {
+    Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+    return cause instanceof StoreFailure answered ? answered.era() : OptionalLong.empty();
+  }
+
   private void callAfter(Duration pause) {
     if (pause.isZero()) {
       call();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableReplica.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TableReplica.java
@@ -14,9 +14,10 @@
 /**
  * This entry's copy of one table, fed by the store or by a hub.
  *
- * <p>Invariants: the version never decreases; the listener gets each change once, or as part of a
- * snapshot; removed rows are kept as tombstones for a while, so that other entries can learn of the
- * removal. Confined to the control thread.
+ * <p>Invariants: within an era of the store the version never decreases, and rows of different eras
+ * are never mixed; the listener gets each change once, or as part of a snapshot; removed rows are
+ * kept as tombstones for a while, so that other entries can learn of the removal. Confined to the
+ * control thread.
  */
 final class TableReplica {
   /**
@@ -31,6 +32,7 @@
   private final TableListener listener;
   private final Map<String, StoredRow> rowsByKey = new HashMap<>();
   private final TreeSet<StoredRow> rowsByVersion = new TreeSet<>(BY_VERSION);
+  private long era;
   private long version;
   private long historyStart;
   private int tombstones;
@@ -51,6 +53,11 @@
     return version;
   }
 
+  /** Returns the era of the store in which the rows were read. */
+  long era() {
+    return era;
+  }
+
   /** Returns whether the whole table was read at least once. */
   boolean isLoaded() {
     return loaded;
@@ -63,9 +70,12 @@
 
   /** Replaces all rows by a snapshot, unless it is older than the replica. */
   void applySnapshot(RowBatch batch, ClockReading checkedAt, long nowNanos) {
-    if (loaded && batch.version() < version) {
+    boolean sameEra = batch.era() == era;
+    if (loaded && (sameEra ? batch.version() < version : batch.era() < era)) {
       return;
     }
+    boolean restored = loaded && !sameEra;
+    era = batch.era();
     rowsByKey.clear();
     rowsByVersion.clear();
     tombstones = 0;
@@ -74,12 +84,20 @@
     historyStart = version;
     loaded = true;
     listener.onStoreClock(batch.storeMillis(), nowNanos);
-    listener.onSnapshot(batch.rows(), nowNanos);
+    if (restored) {
+      listener.onRestored(batch.rows(), nowNanos);
+      lastChecked = null;
+    } else {
+      listener.onSnapshot(batch.rows(), nowNanos);
+    }
     recordCheck(checkedAt);
   }
 
-  /** Applies changes, without those that the replica already has. */
+  /** Applies changes of the replica's era, without those that the replica already has. */
   void applyChanges(RowBatch batch, ClockReading checkedAt, long nowNanos) {
+    if (batch.era() != era) {
+      return;
+    }
     List<StoredRow> newRows = batch.rows().stream().filter(r -> r.version() > version).toList();
     newRows.forEach(this::put);
     dropOldTombstones();
@@ -121,17 +139,17 @@
     }
   }
 
-  /** Returns whether anything changed, or may have changed, after a version. */
-  boolean changedSince(long since) {
-    return since < historyStart || !rowsSince(since).isEmpty();
+  /** Returns whether anything changed, or may have changed, after a version of an era. */
+  boolean changedSince(long sinceEra, long since) {
+    return sinceEra != era || since < historyStart || !rowsSince(since).isEmpty();
   }
 
   /**
-   * Returns the changes after a version, or the whole table if the history does not go back that
-   * far.
+   * Returns the changes after a version of an era, or the whole table if the history does not go
+   * back that far.
    */
-  TableUpdate updateSince(long since) {
-    boolean whole = since < historyStart;
+  TableUpdate updateSince(long sinceEra, long since) {
+    boolean whole = sinceEra != era || since < historyStart;
     List<StoredRow> rows =
         whole
             ? rowsByKey.values().stream().filter(r -> !r.removed()).toList()
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package org.guavagw.gateway.internal.metrics;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.util.Locale;
@@ -10,6 +11,7 @@
 /** Records the metrics of the gateway. Thread-safe. */
 public final class GatewayMetrics {
   private final MetricRegistry registry = new MetricRegistry();
+  private final Counter ignoredWorkReports = registry.counter("work_reports_ignored");
 
   /** Returns the registry with all metrics. */
   public MetricRegistry registry() {
@@ -40,7 +42,7 @@
 
   /** Counts a work report of another entry that cannot be true. */
   public void onImplausibleReport() {
-    registry.counter("work_reports_ignored").inc();
+    ignoredWorkReports.inc();
   }
 
   /** Registers a gauge that reads its value from a supplier. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
@@ -34,7 +34,9 @@
           new PeerMessageType<>("data-centre-work", DataCentreWork.class),
           new PeerMessageType<>("work-summary", WorkSummary.class),
           new PeerMessageType<>("replica-query", ReplicaQuery.class),
-          new PeerMessageType<>("replica-answer", ReplicaAnswer.class));
+          new PeerMessageType<>("replica-answer", ReplicaAnswer.class),
+          new PeerMessageType<>("config-query", ConfigQuery.class),
+          new PeerMessageType<>("config-answer", ConfigAnswer.class));
 
   private final PeerAddresses addresses = new PeerAddresses();
   private final PeerNetwork network;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
@@ -20,6 +21,7 @@
 import org.guavagw.gateway.model.RolloutStatus;
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlStore;
+import org.guavagw.gateway.spi.RowVersion;
 import org.guavagw.internal.peer.PeerIdentity;
 
 /**
@@ -88,6 +90,11 @@
         .orElse(Duration.ZERO);
   }
 
+  @Override
+  public Optional<RolloutStatus> statusOf(RolloutOrder order, Optional<RolloutStatus> status) {
+    return status.filter(s -> s.belongsTo(order, currentView.storeMillis()));
+  }
+
   @Override
   public boolean isRejected(RolloutOrder order) {
     ActiveRollout rollout = activeRollouts.get(order.service());
@@ -132,15 +139,16 @@
     RolloutOrder order = observed.order();
     Optional<RolloutStatus> stored =
         Optional.ofNullable(view.orders().statuses().get(order.service()));
-    Optional<RolloutStatus> current = stored.filter(s -> s.belongsTo(order));
-    if (current.isPresent() && current.get().state() != RolloutState.RUNNING) {
+    Optional<RolloutStatus> current = statusOf(order, stored);
+    boolean ended = current.isPresent() && current.get().state() != RolloutState.RUNNING;
+    if (ended && current.get().stored()) {
       activeRollouts.remove(order.service());
       return;
     }
-    ActiveRollout rollout = activeRollouts.get(order.service());
-    if (rollout == null || rollout.revision != order.revision()) {
-      rollout = new ActiveRollout(order);
-      activeRollouts.put(order.service(), rollout);
+    ActiveRollout rollout = activate(order, current.isPresent());
+    if (ended) {
+      writeState(rollout, stored, current.get().state(), current.get().startedMillis());
+      return;
     }
     if (current.isEmpty()) {
       writeState(rollout, stored, RolloutState.RUNNING, currentView.storeMillis());
@@ -153,9 +161,24 @@
       writeState(rollout, stored, RolloutState.ROLLED_BACK, started);
     } else if (RolloutSchedule.mayComplete(elapsed(observed, current), order.within())) {
       writeState(rollout, stored, RolloutState.DONE, started);
+    } else if (!current.get().stored()) {
+      writeState(rollout, stored, RolloutState.RUNNING, started);
     }
   }
 
+  /** Returns the rollout of an order, which continues if the order was only written again. */
+  private ActiveRollout activate(RolloutOrder order, boolean begun) {
+    ActiveRollout known = activeRollouts.get(order.service());
+    boolean same =
+        known != null
+            && (known.revision == order.revision() || (begun && known.order.hasSameContent(order)));
+    ActiveRollout rollout = same ? known : new ActiveRollout(order);
+    rollout.order = order;
+    rollout.revision = order.revision();
+    activeRollouts.put(order.service(), rollout);
+    return rollout;
+  }
+
   private void sendEvidence(ActiveRollout rollout) {
     long now = currentView.storeMillis();
     boolean due = now - rollout.lastSentMillis >= EVIDENCE_PERIOD.toMillis();
@@ -217,13 +240,20 @@
     rollout.writing = true;
     RolloutOrder order = rollout.order;
     byte[] value = format.rolloutStatus(order.service(), order.toVersion(), state, startedMillis);
-    long expected = stored.map(RolloutStatus::revision).orElse(0L);
-    String key = format.rolloutStatusKey(order.service());
+    RowVersion expected =
+        new RowVersion(
+            format.statusTable(),
+            format.rolloutStatusKey(order.service()),
+            stored.map(RolloutStatus::revision).orElse(0L));
+    // Keeps a late write from a status row that has the same version again in a restored store.
+    RowVersion unchanged =
+        new RowVersion(
+            format.ordersTable(), format.rolloutOrderKey(order.service()), order.revision());
     control.execute(
         () ->
             store
-                .putIf(format.statusTable(), key, value, expected)
-                .whenComplete((revision, failure) -> onWritten(rollout, state, failure)));
+                .putIf(expected, value, List.of(unchanged))
+                .whenComplete((era, failure) -> onWritten(rollout, state, failure)));
   }
 
   private void onWritten(ActiveRollout rollout, RolloutState state, Throwable failure) {
@@ -243,8 +273,8 @@
 
   /** A running rollout. Confined to the traffic thread. */
   private static final class ActiveRollout {
-    private final RolloutOrder order;
-    private final long revision;
+    private RolloutOrder order;
+    private long revision;
     private final VersionEvidence evidence = new VersionEvidence();
     private boolean rejected;
     private boolean writing;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutProgress.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutProgress.java
@@ -14,6 +14,9 @@
   /** Returns the time since the rollout started; zero if it has not started. */
   Duration elapsed(ObservedRollout rollout, Optional<RolloutStatus> status);
 
+  /** Returns the status of an order if the given one belongs to it. */
+  Optional<RolloutStatus> statusOf(RolloutOrder order, Optional<RolloutStatus> status);
+
   /**
    * Returns whether this entry rejected the version or learned that another entry did, possibly
    * before the rollout's status shows it.
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/VersionSelector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/VersionSelector.java
@@ -45,7 +45,7 @@
     if (progress.isRejected(order)) {
       return exclude(order.toVersion(), servers);
     }
-    Optional<RolloutStatus> current = status.filter(s -> s.belongsTo(order));
+    Optional<RolloutStatus> current = progress.statusOf(order, status);
     if (current.isPresent() && current.get().state() != RolloutState.RUNNING) {
       return afterRollout(current.get(), servers);
     }
@@ -86,7 +86,7 @@
     long hash =
         Hashing.murmur3_128()
             .newHasher()
-            .putLong(order.revision())
+            .putString(order.toVersion(), StandardCharsets.UTF_8)
             .putString(session, StandardCharsets.UTF_8)
             .hash()
             .asLong();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/model/BackendServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/model/BackendServer.java
@@ -25,6 +25,12 @@
     return id + "@" + startedMillis + "/" + address.getHostString() + ":" + address.getPort();
   }
 
+  /** Returns this backend server as one that gets no new requests. */
+  public BackendServer asDraining() {
+    return new BackendServer(
+        id, service, address, dataCentre, version, slots, true, startedMillis, coldUntilNanos);
+  }
+
   /** Returns whether the cold start is still going on at a monotonic time. */
   public boolean coldAt(long nanos) {
     return coldUntilNanos - nanos > 0;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/model/RolloutOrder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/model/RolloutOrder.java
@@ -7,4 +7,11 @@
  *
  * @param revision version of the order's row in the store; distinguishes repeated orders
  */
-public record RolloutOrder(String service, String toVersion, Duration within, long revision) {}
+public record RolloutOrder(String service, String toVersion, Duration within, long revision) {
+  /** Returns whether another order asks for the same, in a row of whatever version. */
+  public boolean hasSameContent(RolloutOrder other) {
+    return service.equals(other.service)
+        && toVersion.equals(other.toVersion)
+        && within.equals(other.within);
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/ControlFormat.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/ControlFormat.java
@@ -19,6 +19,9 @@
   /** Decodes a row. Never throws; returns {@code Unreadable} for an invalid row. */
   ControlRow decode(String table, StoredRow row, long nowNanos);
 
+  /** Returns the key of the row with the order to roll out a version of a service. */
+  String rolloutOrderKey(String service);
+
   /** Returns the key of the status row of a service's rollout. */
   String rolloutStatusKey(String service);
 
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/CurrentControlViewTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/CurrentControlViewTest.java
@@ -3,7 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.guavagw.gateway.internal.ManualClock;
+import org.guavagw.gateway.internal.routing.RouteTable;
+import org.guavagw.gateway.model.CallerLimits;
+import org.guavagw.gateway.model.GatewayConfig;
 import org.junit.jupiter.api.Test;
 
 class CurrentControlViewTest {
@@ -53,6 +59,24 @@
     assertThat(currentView.ordersAge()).isEqualTo(Duration.ofSeconds(6));
   }
 
+  @Test
+  void shouldNotBeReadyBeforeTheKeysOfTheFirstConfigurationAreKnownToBeCurrent() {
+    ControlView complete =
+        new ControlView(
+            Optional.of(
+                new GatewayConfig(1, List.of(), Map.of(), Map.of(), true, CallerLimits.DEFAULT)),
+            new RouteTable(List.of()),
+            Map.of(),
+            Orders.NONE,
+            true);
+    currentView.publish(complete);
+    assertThat(currentView.isReady()).isFalse();
+
+    currentView.recordOrdersCheck(now());
+    assertThat(currentView.isReady()).isTrue();
+    assertThat(currentView.whenReady()).isCompleted();
+  }
+
   private ClockReading now() {
     return ClockReading.now(clock.clocks());
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
@@ -34,6 +34,7 @@
   private final List<String> changedKeys = new ArrayList<>();
   private final TableReplica replica = new TableReplica(TABLE, new KeyCollector());
   private final Deque<CompletableFuture<PeerMessage>> pendingQueries = new ArrayDeque<>();
+  private final List<StoredRow> newerConfigs = new ArrayList<>();
   private boolean pollsStore;
   private boolean lapsesExpected;
 
@@ -44,6 +45,7 @@
     HubFollower follower =
         new HubFollower(
             List.of(replica),
+            new StoreEra(previous -> {}),
             new HubSelector(() -> members, clock),
             (entry, message, timeout) -> {
               CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
@@ -53,12 +55,13 @@
             () -> pollsStore = true,
             () -> pollsStore = false,
             () -> lapsesExpected = true,
+            newerConfigs::add,
             control.eventLoop(),
             clock.clocks(),
             log);
     follower.start();
     replica.applySnapshot(
-        new RowBatch(List.of(), 1, 1), ClockReading.now(clock.clocks()), clock.read());
+        new RowBatch(List.of(), 0, 1, 1), ClockReading.now(clock.clocks()), clock.read());
   }
 
   @AfterEach
@@ -114,7 +117,9 @@
   @Test
   void shouldDeliverARowOnceWhenBothStoreAndHubSendIt() {
     replica.applyChanges(
-        new RowBatch(List.of(row("a", 2)), 2, 2), ClockReading.now(clock.clocks()), clock.read());
+        new RowBatch(List.of(row("a", 2)), 0, 2, 2),
+        ClockReading.now(clock.clocks()),
+        clock.read());
     advance(Duration.ofSeconds(2));
 
     answer(Duration.ZERO, row("a", 2));
@@ -125,11 +130,36 @@
   @Test
   void shouldLearnFromTheHubThatRegistrationsMayHaveLapsed() {
     advance(Duration.ofSeconds(2));
-    complete(new ReplicaAnswer(0, 1, true, List.of()));
+    complete(new ReplicaAnswer(0, 0, 1, true, List.of(), List.of()));
 
     assertThat(lapsesExpected).isTrue();
   }
 
+  @Test
+  void shouldReplaceItsTablesByThoseOfARestoredStore() {
+    followHub();
+    TableUpdate whole = new TableUpdate(TABLE, 1, true, List.of(row("copy", 1)));
+    StoredRow config = row("config", 9);
+
+    complete(new ReplicaAnswer(1, 0, 1, false, List.of(whole), List.of(config)));
+
+    assertThat(replica.era()).isEqualTo(1);
+    assertThat(newerConfigs).containsExactly(config);
+    assertThat(pollsStore).isFalse();
+  }
+
+  @Test
+  void shouldLeaveAHubThatIsInAnEarlierEra() {
+    followHub();
+    TableUpdate whole = new TableUpdate(TABLE, 1, true, List.of());
+    complete(new ReplicaAnswer(1, 0, 1, false, List.of(whole), List.of()));
+
+    answer(Duration.ZERO, row("late", 5));
+
+    assertThat(changedKeys).isEmpty();
+    assertThat(pollsStore).isTrue();
+  }
+
   private void followHub() {
     advance(Duration.ofSeconds(2));
     answer(Duration.ZERO);
@@ -139,7 +169,7 @@
   private void answer(Duration checkedAfter, StoredRow... rows) {
     long version = rows.length == 0 ? replica.version() : rows[rows.length - 1].version();
     TableUpdate update = new TableUpdate(TABLE, version, false, List.of(rows));
-    complete(new ReplicaAnswer(checkedAfter.toNanos(), 1, false, List.of(update)));
+    complete(new ReplicaAnswer(0, checkedAfter.toNanos(), 1, false, List.of(update), List.of()));
   }
 
   private void complete(ReplicaAnswer answer) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer;
@@ -21,6 +22,7 @@
   private static final String TABLE = "orders";
 
   private int refreshes;
+  private List<StoredRow> newerConfig = List.of();
   private final ManualClock clock = new ManualClock();
   private final EmbeddedChannel control = new EmbeddedChannel();
   private final StoreHealth health = new StoreHealth(TABLE);
@@ -31,6 +33,7 @@
           orders,
           health,
           () -> false,
+          () -> newerConfig,
           () -> refreshes++,
           new CurrentControlView(clock.clocks()),
           control.eventLoop(),
@@ -39,13 +42,13 @@
   @BeforeEach
   void loadOrders() {
     control.freezeTime();
-    orders.applySnapshot(new RowBatch(List.of(row("a", 4)), 5, 5), now(), clock.read());
+    orders.applySnapshot(new RowBatch(List.of(row("a", 4)), 0, 5, 5), now(), clock.read());
     advance(Duration.ofMillis(100));
   }
 
   @Test
   void shouldAnswerAtOnceIfSomethingChanged() {
-    applyBatch(new RowBatch(List.of(row("b", 6)), 6, 6));
+    applyBatch(new RowBatch(List.of(row("b", 6)), 0, 6, 6));
 
     ReplicaAnswer answer = answerOf(query(5));
 
@@ -53,12 +56,32 @@
     assertThat(answer.tables().get(0).whole()).isFalse();
   }
 
+  @Test
+  void shouldAnswerAFollowerInAnEarlierEraWithTheWholeTable() {
+    orders.applySnapshot(new RowBatch(List.of(row("a", 2)), 1, 3, 3), now(), clock.read());
+    newerConfig = List.of(row("config", 9));
+
+    ReplicaAnswer answer = answerOf(query(5));
+
+    assertThat(answer.era()).isEqualTo(1);
+    assertThat(answer.tables().get(0).whole()).isTrue();
+    assertThat(answer.tables().get(0).rows()).containsExactly(row("a", 2));
+    assertThat(answer.newerConfig()).isEqualTo(newerConfig);
+  }
+
+  @Test
+  void shouldRefuseAFollowerInALaterEra() {
+    CompletionStage<PeerMessage> answer = server.onQuery(new ReplicaQuery(1, Map.of(TABLE, 1L)));
+
+    assertThat(answer.toCompletableFuture()).isCompletedWithValue(null);
+  }
+
   @Test
   void shouldHoldAQueryUntilAChange() {
     CompletableFuture<PeerMessage> pending = query(5);
     assertThat(pending).isNotDone();
 
-    applyBatch(new RowBatch(List.of(row("b", 6)), 6, 6));
+    applyBatch(new RowBatch(List.of(row("b", 6)), 0, 6, 6));
 
     assertThat(answerOf(pending).tables().get(0).version()).isEqualTo(6);
   }
@@ -68,7 +91,7 @@
     CompletableFuture<PeerMessage> pending = query(5);
     advance(Duration.ofMillis(50));
 
-    applyBatch(new RowBatch(List.of(), 5, 5));
+    applyBatch(new RowBatch(List.of(), 0, 5, 5));
 
     assertThat(answerOf(pending).checkedAfterNanos()).isEqualTo(Duration.ofMillis(50).toNanos());
   }
@@ -103,7 +126,7 @@
   @Test
   void shouldSendRemovedRows() {
     StoredRow removed = new StoredRow("a", new byte[0], 6, true);
-    applyBatch(new RowBatch(List.of(removed), 6, 6));
+    applyBatch(new RowBatch(List.of(removed), 0, 6, 6));
 
     assertThat(answerOf(query(5)).tables().get(0).rows()).containsExactly(removed);
   }
@@ -131,7 +154,7 @@
   }
 
   private CompletableFuture<PeerMessage> query(long version) {
-    return server.onQuery(new ReplicaQuery(Map.of(TABLE, version))).toCompletableFuture();
+    return server.onQuery(new ReplicaQuery(0, Map.of(TABLE, version))).toCompletableFuture();
   }
 
   private static ReplicaAnswer answerOf(CompletableFuture<PeerMessage> pending) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SampleFormat.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SampleFormat.java
@@ -33,6 +33,11 @@
     return new ControlRow.Backend(Samples.server(row.key(), "dc1", "v1"));
   }
 
+  @Override
+  public String rolloutOrderKey(String service) {
+    return service;
+  }
+
   @Override
   public String rolloutStatusKey(String service) {
     return service;
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ScriptedStore.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ScriptedStore.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.guavagw.gateway.spi.ControlStore;
 import org.guavagw.gateway.spi.RowBatch;
+import org.guavagw.gateway.spi.RowVersion;
 import org.guavagw.gateway.spi.StoreFailure;
 import org.guavagw.gateway.spi.StoredRow;
 
@@ -13,6 +15,12 @@
 final class ScriptedStore implements ControlStore {
   private final List<Call> calls = new ArrayList<>();
   private final List<Call> pending = new ArrayList<>();
+  private long era;
+
+  /** Sets the era that answers state from now on. */
+  void setEra(long era) {
+    this.era = era;
+  }
 
   @Override
   public CompletableFuture<RowBatch> readAll(String table) {
@@ -26,8 +34,8 @@
 
   @Override
   public CompletableFuture<Long> putIf(
-      String table, String key, byte[] value, long expectedVersion) {
-    return CompletableFuture.completedFuture(expectedVersion + 1);
+      RowVersion expected, byte[] value, List<RowVersion> unchanged) {
+    return CompletableFuture.completedFuture(era);
   }
 
   private CompletableFuture<RowBatch> record(Call call) {
@@ -53,13 +61,13 @@
   void answer(String table, long version, StoredRow... rows) {
     Call call = pending(table);
     pending.remove(call);
-    call.answer().complete(new RowBatch(List.of(rows), version, version));
+    call.answer().complete(new RowBatch(List.of(rows), era, version, version));
   }
 
   void fail(String table, StoreFailure.Kind kind) {
     Call call = pending(table);
     pending.remove(call);
-    call.answer().completeExceptionally(new StoreFailure(kind, "scripted"));
+    call.answer().completeExceptionally(new StoreFailure(kind, "scripted", OptionalLong.of(era)));
   }
 
   @Override
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TablePollerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TablePollerTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.ManualClock;
@@ -24,6 +25,7 @@
   private final EmbeddedChannel control = new EmbeddedChannel();
   private final EventLog log = new EventLog("test", InstantSource.system(), System.out);
   private final StoreHealth health = new StoreHealth("probe");
+  private final List<String> changedKeys = new ArrayList<>();
   private TablePoller poller;
   private ClockReading lastChecked;
 
@@ -38,6 +40,7 @@
             timing,
             store,
             health,
+            new StoreEra(previous -> poller.reload()),
             new NoListener(),
             control.eventLoop(),
             clock.clocks(),
@@ -68,6 +71,38 @@
     assertThat(lastChecked.age(clock.clocks())).isEqualTo(Duration.ofSeconds(6));
   }
 
+  @Test
+  void shouldReadTheWholeTableAnewWhenAnyAnswerShowsANewEra() {
+    store.setEra(1);
+    store.answer(TABLE, 7);
+    assertThat(store.pending(TABLE).kind()).isEqualTo("read");
+
+    store.answer(TABLE, 3, row("a", 2));
+    assertThat(changedKeys).containsExactly("a");
+    assertThat(store.pending(TABLE).since()).isEqualTo(3);
+  }
+
+  @Test
+  void shouldTakeNoteOfTheEraOfARefusal() {
+    store.setEra(1);
+    store.fail(TABLE, StoreFailure.Kind.HISTORY_LOST);
+
+    assertThat(store.pending(TABLE).kind()).isEqualTo("read");
+  }
+
+  @Test
+  void shouldIgnoreALateAnswerOfAnEarlierEra() {
+    store.setEra(2);
+    store.answer(TABLE, 7);
+    store.answer(TABLE, 3, row("a", 2));
+    store.setEra(1);
+    store.answer(TABLE, 9, row("late", 8));
+
+    assertThat(changedKeys).containsExactly("a");
+    advance(Duration.ofMillis(300));
+    assertThat(store.pending(TABLE).since()).isEqualTo(3);
+  }
+
   @Test
   void shouldRetrySoonAfterAFailure() {
     store.fail(TABLE, StoreFailure.Kind.REFUSED);
@@ -118,16 +153,20 @@
     control.runScheduledPendingTasks();
   }
 
-  /** Keeps the time of the last check. */
+  private static StoredRow row(String key, long version) {
+    return new StoredRow(key, new byte[0], version, false);
+  }
+
+  /** Keeps the keys that changed and the time of the last check. */
   private final class CheckRecorder implements TableListener {
     @Override
     public void onSnapshot(List<StoredRow> rows, long nowNanos) {
-      // only the checks matter here
+      onChanges(rows, nowNanos);
     }
 
     @Override
     public void onChanges(List<StoredRow> rows, long nowNanos) {
-      // only the checks matter here
+      rows.forEach(row -> changedKeys.add(row.key()));
     }
 
     @Override
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
@@ -19,7 +19,8 @@
     byte[] value = "{}".getBytes(StandardCharsets.UTF_8);
     TableUpdate update =
         new TableUpdate("orders", 7, true, List.of(new StoredRow("config", value, 6, false)));
-    ReplicaAnswer answer = new ReplicaAnswer(-5_000_000_000L, 12, true, List.of(update));
+    ReplicaAnswer answer =
+        new ReplicaAnswer(3, -5_000_000_000L, 12, true, List.of(update), update.rows());
 
     ReplicaAnswer decoded = codec.decode(codec.encode(answer), ReplicaAnswer.class);
 
@@ -28,7 +29,7 @@
 
   @Test
   void shouldEncodeAndDecodeTableVersions() {
-    ReplicaQuery query = new ReplicaQuery(Map.of("orders", 1L, "servers", 1L << 40));
+    ReplicaQuery query = new ReplicaQuery(-1, Map.of("orders", 1L, "servers", 1L << 40));
 
     assertThat(codec.decode(codec.encode(query), ReplicaQuery.class)).isEqualTo(query);
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendSelectorTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendSelectorTest.java
@@ -79,7 +79,7 @@
                 "engine",
                 new ObservedRollout(
                     new RolloutOrder("engine", "v2", Duration.ofSeconds(20), 1), 0)),
-            Map.of("engine", new RolloutStatus("engine", "v2", RolloutState.RUNNING, 0, 2)),
+            Map.of("engine", new RolloutStatus("engine", "v2", RolloutState.RUNNING, 0, 2, true)),
             Set.of());
     assertThat(select(view, "s")).contains(newServer);
     coldStartLimiter.onSent(newServer, 0);
@@ -145,6 +145,11 @@
       return rollout.order().within();
     }
 
+    @Override
+    public Optional<RolloutStatus> statusOf(RolloutOrder order, Optional<RolloutStatus> status) {
+      return status.filter(s -> s.belongsTo(order, order.within().toMillis() + 1));
+    }
+
     @Override
     public boolean isRejected(RolloutOrder order) {
       return false;
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionSelectorTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionSelectorTest.java
@@ -27,6 +27,7 @@
   private final List<BackendServer> both = List.of(oldServer, newServer);
   private final RolloutOrder order = new RolloutOrder("engine", "v2", WITHIN, 10);
   private Duration elapsed = Duration.ZERO;
+  private long storeMillis;
   private boolean rejected;
   private final VersionSelector selector =
       new VersionSelector(
@@ -37,6 +38,12 @@
               return elapsed;
             }
 
+            @Override
+            public Optional<RolloutStatus> statusOf(
+                RolloutOrder rolloutOrder, Optional<RolloutStatus> status) {
+              return status.filter(s -> s.belongsTo(rolloutOrder, storeMillis));
+            }
+
             @Override
             public boolean isRejected(RolloutOrder rolloutOrder) {
               return rejected;
@@ -98,13 +105,24 @@
 
   @Test
   void shouldIgnoreTheStatusOfAnEarlierOrder() {
-    RolloutStatus earlier = new RolloutStatus("engine", "v2", RolloutState.ROLLED_BACK, 0, 5);
+    RolloutStatus earlier = new RolloutStatus("engine", "v2", RolloutState.ROLLED_BACK, 0, 5, true);
     elapsed = WITHIN;
+    storeMillis = WITHIN.toMillis() + 1;
     ControlView view =
         view(Map.of("engine", new ObservedRollout(order, 0)), Map.of("engine", earlier));
     assertThat(selector.select(view, "engine", "s", both, 0)).containsExactly(newServer);
   }
 
+  @Test
+  void shouldKeepTheStatusOfAnOrderThatWasWrittenAgainAfterTheStoreWasRestored() {
+    RolloutStatus rolledBack =
+        new RolloutStatus("engine", "v2", RolloutState.ROLLED_BACK, 0, 5, true);
+    storeMillis = WITHIN.toMillis() / 2;
+    ControlView view =
+        view(Map.of("engine", new ObservedRollout(order, 0)), Map.of("engine", rolledBack));
+    assertThat(selector.select(view, "engine", "s", both, 0)).containsExactly(oldServer);
+  }
+
   private double shareOnNew() {
     ControlView view = running();
     long onNew =
@@ -121,7 +139,7 @@
   private ControlView withStatus(RolloutState state) {
     return view(
         Map.of("engine", new ObservedRollout(order, 0)),
-        Map.of("engine", new RolloutStatus("engine", "v2", state, 0, 11)));
+        Map.of("engine", new RolloutStatus("engine", "v2", state, 0, 11, true)));
   }
 
   private static ControlView view(
