--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/logging/EventLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/logging/EventLog.java
@@ -29,6 +29,9 @@
   /** Maximum wait for the writer on close; a small part of the shutdown limit. */
   private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(500);
 
+  /** How long lines are gathered before they are written: each write wakes a thread. */
+  private static final Duration BATCH_TIME = Duration.ofMillis(50);
+
   private static final JsonFactory JSON = new JsonFactory();
 
   private final String node;
@@ -68,31 +71,34 @@
   }
 
   private void writeLines() {
+    StringBuilder taken = new StringBuilder();
     try {
       while (true) {
-        StringBuilder batch = new StringBuilder(lines.take());
-        for (String next = lines.poll(); next != null; next = lines.poll()) {
-          batch.append(next);
-        }
-        out.print(batch);
-        out.flush();
+        taken.append(lines.take());
+        Thread.sleep(BATCH_TIME.toMillis());
+        writeWithQueued(taken);
       }
     } catch (InterruptedException e) {
+      writeWithQueued(taken);
       Thread.currentThread().interrupt();
     }
   }
 
+  private void writeWithQueued(StringBuilder taken) {
+    for (String next = lines.poll(); next != null; next = lines.poll()) {
+      taken.append(next);
+    }
+    out.print(taken);
+    out.flush();
+    taken.setLength(0);
+  }
+
   /** Writes the queued lines; waits for a blocked writer thread only up to a time limit. */
   @Override
   public void close() {
     writer.interrupt();
     awaitWriter();
-    StringBuilder rest = new StringBuilder();
-    for (String next = lines.poll(); next != null; next = lines.poll()) {
-      rest.append(next);
-    }
-    out.print(rest);
-    out.flush();
+    writeWithQueued(new StringBuilder());
   }
 
   /** Lets the writer finish the lines it has taken, which precede those still queued. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Members.java
@@ -197,5 +197,20 @@
    *
    * @param host host on which it listens for peers
    */
-  public record Member(String name, String dataCentre, String host, int port) {}
+  public record Member(String name, String dataCentre, String host, int port) {
+    // The generated method links method handles on first use, which slows down the start.
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Member m
+          && name.equals(m.name)
+          && dataCentre.equals(m.dataCentre)
+          && host.equals(m.host)
+          && port == m.port;
+    }
+
+    @Override
+    public int hashCode() {
+      return name.hashCode();
+    }
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
@@ -20,6 +20,19 @@
     leaving = Set.copyOf(leaving);
   }
 
+  // The generated method links method handles on first use, which slows down the start.
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof ServerWork w
+        && byIncarnation.equals(w.byIncarnation)
+        && leaving.equals(w.leaving);
+  }
+
+  @Override
+  public int hashCode() {
+    return byIncarnation.hashCode();
+  }
+
   /** Returns the work at a backend server. */
   public Work at(String incarnation) {
     return byIncarnation.getOrDefault(incarnation, Work.NONE);
@@ -51,6 +64,18 @@
     /** No work. */
     public static final Work NONE = new Work(0, 0);
 
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof Work w
+          && running == w.running
+          && Double.compare(waitingMillis, w.waitingMillis) == 0;
+    }
+
+    @Override
+    public int hashCode() {
+      return running;
+    }
+
     Work plus(Work other) {
       return new Work(running + other.running, waitingMillis + other.waitingMillis);
     }
