Poll the store as rarely as the limit for a configuration allows

Cause: store calls are the largest price of the deployments with hubs. Change: HubTiming derives a hub's interval, and the age at which followers leave it, from the limit (0.5 s at 2 s as before, 1 s at 4 s). The first poll after a start waits until the entry may follow a hub.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -107,7 +107,17 @@
     ControlPlane plane =
         closer.register(
             new ControlPlane(
-                store, format, state, members, currentView, hubs, peers, controlLoop, clocks, log));
+                store,
+                format,
+                state,
+                members,
+                currentView,
+                hubs,
+                peers,
+                controlLoop,
+                clocks,
+                log,
+                settings.configLimit()));
     peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
     peers.onRequest(ConfigQuery.class, (from, query) -> plane.onQuery(query));
     this.metricsServer = serveMonitoring(traffic, metrics, members, plane);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -15,6 +15,7 @@
  * @param peerAddress address to which other entries connect
  * @param peerSecret secret shared by all entries of a deployment
  * @param maxKeyAge maximum age of the control state for accepting API keys; empty for no limit
+ * @param configLimit time within which a configuration must be in force everywhere
  * @param sessionTimeout time without requests after which a session ends
  * @param retryRatio retries that all entries together may send per request in the window
  * @param retrySlack additional retries in each window, for all entries together
@@ -32,6 +33,7 @@
     InetSocketAddress peerAddress,
     String peerSecret,
     Optional<Duration> maxKeyAge,
+    Duration configLimit,
     Duration sessionTimeout,
     double retryRatio,
     double retrySlack,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -27,12 +27,6 @@
    */
   private static final Duration ORDERS_POLL_TIMEOUT = Duration.ofMillis(1500);
 
-  /**
-   * Shorter at a hub: its followers must notice that it lost the store, and catch up, within the
-   * time limit for applying a configuration.
-   */
-  private static final Duration HUB_ORDERS_POLL_TIMEOUT = Duration.ofMillis(500);
-
   /** Changes end the long poll at once, so a shorter timeout would only add calls. */
   private static final Duration DEFAULT_POLL_TIMEOUT = Duration.ofSeconds(8);
 
@@ -51,6 +45,9 @@
   /** Well below the time limit for no longer sending requests to a backend server that drains. */
   private static final Duration MAX_BACKENDS_BATCH_DELAY = Duration.ofMillis(800);
 
+  /** An entry that follows a hub by then never polls the store for changes. */
+  private static final Duration FIRST_POLL_DELAY = HubFollower.FIRST_SEARCH_DELAY.plusMillis(150);
+
   private final ControlState state;
   private final MemberTable memberTable;
   private final ScheduledExecutorService control;
@@ -64,7 +61,11 @@
   private final EventLog log;
   private final AtomicLong restores = new AtomicLong();
 
-  /** Creates a control plane that is idle until {@link #start}. */
+  /**
+   * Creates a control plane that is idle until {@link #start}.
+   *
+   * @param configLimit time within which a configuration must be in force everywhere
+   */
   public ControlPlane(
       ControlStore store,
       ControlFormat format,
@@ -75,7 +76,9 @@
       PeerClient peers,
       ScheduledExecutorService control,
       Clocks clocks,
-      EventLog log) {
+      EventLog log,
+      Duration configLimit) {
+    HubTiming hubTiming = HubTiming.within(configLimit);
     this.state = state;
     this.memberTable = memberTable;
     this.control = control;
@@ -102,13 +105,15 @@
             clocks);
     PollTiming ordersTiming =
         new PollTiming(
-            () -> replicaServer.hasFollowers() ? HUB_ORDERS_POLL_TIMEOUT : ORDERS_POLL_TIMEOUT,
-            () -> Duration.ZERO);
+            () -> replicaServer.hasFollowers() ? hubTiming.pollTimeout() : ORDERS_POLL_TIMEOUT,
+            () -> Duration.ZERO,
+            FIRST_POLL_DELAY);
     PollTiming backendsTiming =
-        new PollTiming(() -> DEFAULT_POLL_TIMEOUT, this::backendsBatchDelay);
-    PollTiming statusTiming = new PollTiming(() -> DEFAULT_POLL_TIMEOUT, () -> Duration.ZERO);
+        new PollTiming(() -> DEFAULT_POLL_TIMEOUT, this::backendsBatchDelay, FIRST_POLL_DELAY);
+    PollTiming statusTiming =
+        new PollTiming(() -> DEFAULT_POLL_TIMEOUT, () -> Duration.ZERO, FIRST_POLL_DELAY);
     PollTiming membersTiming =
-        new PollTiming(() -> MEMBERS_POLL_TIMEOUT, () -> MEMBERS_BATCH_DELAY);
+        new PollTiming(() -> MEMBERS_POLL_TIMEOUT, () -> MEMBERS_BATCH_DELAY, Duration.ZERO);
     this.pollers =
         List.of(
             new TablePoller(orders, ordersTiming, store, health, era, this, control, clocks, log),
@@ -121,6 +126,7 @@
         new HubFollower(
             replicas,
             era,
+            hubTiming,
             hubSelector,
             peers,
             () -> pollers.forEach(TablePoller::start),
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
@@ -35,17 +35,11 @@
    */
   private static final Duration QUERY_TIMEOUT = ReplicaServer.HOLD_TIME.plusMillis(400);
 
-  /**
-   * Orders older than this show that the hub has lost the store; leaves time to catch up within the
-   * time limit for applying a configuration.
-   */
-  private static final Duration MAX_ORDERS_AGE = Duration.ofMillis(1200);
-
   /**
    * Entries of a deployment start at about the same time, so a hub is available soon after the
    * start.
    */
-  private static final Duration FIRST_SEARCH_DELAY = Duration.ofMillis(700);
+  static final Duration FIRST_SEARCH_DELAY = Duration.ofMillis(700);
 
   /** How often an entry without a hub looks for one. */
   private static final Duration SEARCH_PERIOD = Duration.ofSeconds(2);
@@ -55,6 +49,7 @@
 
   private final List<TableReplica> replicas;
   private final StoreEra era;
+  private final HubTiming timing;
   private final HubSelector hubSelector;
   private final PeerClient peers;
   private final Runnable startStorePolling;
@@ -78,6 +73,7 @@
   HubFollower(
       List<TableReplica> replicas,
       StoreEra era,
+      HubTiming timing,
       HubSelector hubSelector,
       PeerClient peers,
       Runnable startStorePolling,
@@ -89,6 +85,7 @@
       EventLog log) {
     this.replicas = replicas;
     this.era = era;
+    this.timing = timing;
     this.hubSelector = hubSelector;
     this.peers = peers;
     this.startStorePolling = startStorePolling;
@@ -155,7 +152,7 @@
     answer.tables().forEach(t -> applyUpdate(answer, t, checkedAt));
     answer.newerConfig().forEach(onNewerConfig);
     Duration age = checkedAt.age(clocks);
-    if (age.compareTo(MAX_ORDERS_AGE) > 0) {
+    if (age.compareTo(timing.maxOrdersAge()) > 0) {
       abandonHub(hub, "its orders are " + age.toMillis() + " ms old");
       return;
     }
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubTiming.java
@@ -0,0 +1,39 @@
+package org.guavagw.gateway.internal.control;
+
+import java.time.Duration;
+
+/**
+ * How often a hub reads the orders, and when its followers leave it. Immutable.
+ *
+ * <p>The load that it answers: each read of each hub is a call to the store, whether or not
+ * anything changed. They may be as rare as the time limit for applying a configuration allows.
+ *
+ * @param pollTimeout how long the store may hold a hub's poll for orders
+ * @param maxOrdersAge age of a hub's orders at which its followers take it to have lost the store
+ */
+record HubTiming(Duration pollTimeout, Duration maxOrdersAge) {
+  private static final Duration MIN_POLL_TIMEOUT = Duration.ofMillis(500);
+  private static final Duration MAX_POLL_TIMEOUT = Duration.ofMillis(1200);
+
+  /**
+   * Part of the time limit that passes until the next poll; the rest is for noticing and reading.
+   */
+  private static final int POLLS_PER_LIMIT = 4;
+
+  /** Time for the two hops between the store, the hub and a follower. */
+  private static final Duration DELIVERY_TIME = Duration.ofMillis(700);
+
+  /**
+   * Returns the timing that fits a time limit.
+   *
+   * @param configLimit time within which a configuration must be in force everywhere
+   */
+  static HubTiming within(Duration configLimit) {
+    long wantedMillis = configLimit.dividedBy(POLLS_PER_LIMIT).toMillis();
+    Duration poll =
+        Duration.ofMillis(
+            Math.min(
+                MAX_POLL_TIMEOUT.toMillis(), Math.max(MIN_POLL_TIMEOUT.toMillis(), wantedMillis)));
+    return new HubTiming(poll, poll.plus(DELIVERY_TIME));
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/PollTiming.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/PollTiming.java
@@ -9,8 +9,12 @@
  * @param timeoutSupplier how long the store may hold a poll while nothing changes
  * @param batchDelaySupplier pause after a change, so that the next poll returns further changes in
  *     one batch
+ * @param firstPollDelay pause between the first read of the whole table and the first poll
  */
-record PollTiming(Supplier<Duration> timeoutSupplier, Supplier<Duration> batchDelaySupplier) {
+record PollTiming(
+    Supplier<Duration> timeoutSupplier,
+    Supplier<Duration> batchDelaySupplier,
+    Duration firstPollDelay) {
   Duration timeout() {
     return timeoutSupplier.get();
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
@@ -195,11 +195,12 @@
       onFailure(failure);
       return;
     }
+    boolean first = !replica.isLoaded();
     historyLost = false;
     onSuccess();
     replica.applySnapshot(batch, sentAt, nowNanos());
     listener.onReplicaChanged();
-    call();
+    callAfter(first ? timing.firstPollDelay() : Duration.ZERO);
   }
 
   private void onChanges(ClockReading sentAt, Duration timeout, RowBatch batch, Throwable failure) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
@@ -46,6 +46,7 @@
         new HubFollower(
             List.of(replica),
             new StoreEra(previous -> {}),
+            HubTiming.within(Duration.ofSeconds(2)),
             new HubSelector(() -> members, clock),
             (entry, message, timeout) -> {
               CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TablePollerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TablePollerTest.java
@@ -32,7 +32,7 @@
   @BeforeEach
   void start() {
     control.freezeTime();
-    PollTiming timing = new PollTiming(() -> POLL_TIMEOUT, () -> Duration.ZERO);
+    PollTiming timing = new PollTiming(() -> POLL_TIMEOUT, () -> Duration.ZERO, Duration.ZERO);
     TableReplica replica = new TableReplica(TABLE, new CheckRecorder());
     poller =
         new TablePoller(
