--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -95,6 +95,7 @@
     this.replicaServer =
         new ReplicaServer(
             replicas,
+            hubTiming.holdTime(),
             orders,
             health,
             state::lapsesExpected,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
@@ -30,10 +30,10 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 final class HubFollower {
   /**
-   * A hub that does not answer within this time is abandoned: the hub's hold time plus network
-   * delay.
+   * Time beyond a hub's hold time for the query and its answer; a hub that does not answer by then
+   * is abandoned.
    */
-  private static final Duration QUERY_TIMEOUT = ReplicaServer.HOLD_TIME.plusMillis(400);
+  private static final Duration DELIVERY_TIME = Duration.ofMillis(400);
 
   /**
    * Entries of a deployment start at about the same time, so a hub is available soon after the
@@ -127,7 +127,8 @@
     replicas.forEach(r -> versions.put(r.table(), r.version()));
     ClockReading sentAt = ClockReading.now(clocks);
     peers
-        .request(hub, new ReplicaQuery(commonEra(), versions), QUERY_TIMEOUT)
+        .request(
+            hub, new ReplicaQuery(commonEra(), versions), timing.holdTime().plus(DELIVERY_TIME))
         .whenCompleteAsync((answer, failure) -> onAnswer(hub, sentAt, answer, failure), control);
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubTiming.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubTiming.java
@@ -9,9 +9,10 @@
  * anything changed. They may be as rare as the time limit for applying a configuration allows.
  *
  * @param pollTimeout how long the store may hold a hub's poll for orders
+ * @param holdTime how long a hub holds a follower's query while nothing changes
  * @param maxOrdersAge age of a hub's orders at which its followers take it to have lost the store
  */
-record HubTiming(Duration pollTimeout, Duration maxOrdersAge) {
+record HubTiming(Duration pollTimeout, Duration holdTime, Duration maxOrdersAge) {
   private static final Duration MIN_POLL_TIMEOUT = Duration.ofMillis(500);
   private static final Duration MAX_POLL_TIMEOUT = Duration.ofMillis(1200);
 
@@ -20,6 +21,9 @@
    */
   private static final int POLLS_PER_LIMIT = 4;
 
+  /** Shorter than a poll, so that a hub that is gone is noticed soon. */
+  private static final int HOLD_PERCENT = 80;
+
   /** Time for the two hops between the store, the hub and a follower. */
   private static final Duration DELIVERY_TIME = Duration.ofMillis(700);
 
@@ -34,6 +38,7 @@
         Duration.ofMillis(
             Math.min(
                 MAX_POLL_TIMEOUT.toMillis(), Math.max(MIN_POLL_TIMEOUT.toMillis(), wantedMillis)));
-    return new HubTiming(poll, poll.plus(DELIVERY_TIME));
+    return new HubTiming(
+        poll, poll.multipliedBy(HOLD_PERCENT).dividedBy(100), poll.plus(DELIVERY_TIME));
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
@@ -26,13 +26,11 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ReplicaServer {
-  /** Followers notice a hub that is gone within this time plus network delay. */
-  static final Duration HOLD_TIME = Duration.ofMillis(400);
-
   /** An entry that got no queries for this time has no followers. */
   private static final Duration FOLLOWER_TIMEOUT = Duration.ofSeconds(3);
 
   private final List<TableReplica> replicas;
+  private final Duration holdTime;
   private final TableReplica orders;
   private final StoreHealth health;
   private final BooleanSupplier lapsesExpected;
@@ -48,11 +46,13 @@
   /**
    * Creates a server.
    *
+   * @param holdTime how long a query is held while nothing changes
    * @param newerConfig returns the row of the configuration in force if the store has an older one
    * @param onFirstFollower called when this entry gets its first follower and so needs newer orders
    */
   ReplicaServer(
       List<TableReplica> replicas,
+      Duration holdTime,
       TableReplica orders,
       StoreHealth health,
       BooleanSupplier lapsesExpected,
@@ -62,6 +62,7 @@
       ScheduledExecutorService control,
       Clocks clocks) {
     this.replicas = replicas;
+    this.holdTime = holdTime;
     this.orders = orders;
     this.health = health;
     this.lapsesExpected = lapsesExpected;
@@ -91,7 +92,7 @@
       pending.answer().complete(answerTo(pending));
     } else {
       pendingQueries.add(pending);
-      control.schedule(() -> complete(pending), HOLD_TIME.toMillis(), TimeUnit.MILLISECONDS);
+      control.schedule(() -> complete(pending), holdTime.toMillis(), TimeUnit.MILLISECONDS);
     }
     return pending.answer();
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
@@ -37,6 +37,7 @@
     RelayFormat format,
     BackendConnectionPool pool,
     ReachabilityChecker reachability,
+    PeriodicChecks checks,
     EventLoop eventLoop,
     Ticker ticker,
     EventLog log,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -76,6 +76,7 @@
   private final ReachabilityChecker reachability;
   private final CallerServer callerServer;
   private final EventLoop eventLoop;
+  private final PeriodicChecks checks = new PeriodicChecks();
   private final InFlightRequests inFlight = new InFlightRequests();
   private final GracefulShutdown shutdown;
   private final Closer closer = new Closer();
@@ -131,6 +132,7 @@
             format,
             pool,
             reachability,
+            checks,
             eventLoop,
             ticker,
             log,
@@ -177,6 +179,7 @@
     long now = ticker.read();
     lag.tick(now);
     sender.tick(now);
+    checks.run();
   }
 
   private void receiveWorkReports(PeerMessenger peers, EventLog log, GatewayMetrics metrics) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
@@ -2,14 +2,12 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.model.BackendServer;
 
 /**
  * Checks the attempts of an exchange periodically and cancels those that are stalled if another
  * backend server can take over. Traffic thread only.
  */
-@SuppressWarnings("FutureReturnValueIgnored")
 final class StalledAttemptMonitor {
   private final ExchangeDependencies shared;
   private final AdmittedRequest request;
@@ -27,28 +25,23 @@
    */
   void watch(int attemptNumber) {
     if (request.route().safeToRetry()) {
-      shared
-          .eventLoop()
-          .schedule(
-              () -> check(attemptNumber),
-              StalledAttemptPolicy.CHECK_PERIOD.toMillis(),
-              TimeUnit.MILLISECONDS);
+      shared.checks().add(() -> isStillWatched(attemptNumber));
     }
   }
 
-  private void check(int attemptNumber) {
+  private boolean isStillWatched(int attemptNumber) {
     Optional<AttemptProgress> progress = exchange.inFlightAttempt(attemptNumber);
     if (progress.isEmpty()) {
-      return;
+      return false;
     }
     long now = shared.ticker().read();
     Optional<AttemptFailure> reason = cancellationReason(progress.get(), now);
     // If no retry is possible, the current attempt still has the best chance.
     if (reason.isPresent() && exchange.retryTarget(now).isPresent()) {
       exchange.cancelAttempt(reason.get());
-    } else {
-      watch(attemptNumber);
+      return false;
     }
+    return true;
   }
 
   private Optional<AttemptFailure> cancellationReason(AttemptProgress progress, long now) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicy.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicy.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.relay;
 
 import java.time.Duration;
+import org.guavagw.gateway.internal.placement.WorkReportSender;
 import org.guavagw.gateway.model.Route;
 
 /**
@@ -14,8 +15,11 @@
  * move to a faster backend server. Stateless.
  */
 final class StalledAttemptPolicy {
-  /** How often attempts are checked: a fraction of the shortest limit below. */
-  static final Duration CHECK_PERIOD = Duration.ofMillis(100);
+  /**
+   * How often attempts are checked: a fraction of the shortest limit below, and with the task that
+   * sends work reports.
+   */
+  static final Duration CHECK_PERIOD = WorkReportSender.PERIOD;
 
   /**
    * Leaves most of a tolerable pause of one second for the check and for another server to
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
@@ -20,6 +20,7 @@
 
 class ReplicaServerTest {
   private static final String TABLE = "orders";
+  private static final Duration HOLD_TIME = Duration.ofMillis(400);
 
   private int refreshes;
   private List<StoredRow> newerConfig = List.of();
@@ -30,6 +31,7 @@
   private final ReplicaServer server =
       new ReplicaServer(
           List.of(orders),
+          HOLD_TIME,
           orders,
           health,
           () -> false,
@@ -100,7 +102,7 @@
   void shouldCountASuspensionBetweenTheCheckAndTheQuery() {
     clock.stepWall(Duration.ofSeconds(6));
     CompletableFuture<PeerMessage> pending = query(5);
-    advance(ReplicaServer.HOLD_TIME);
+    advance(HOLD_TIME);
 
     assertThat(answerOf(pending).checkedAfterNanos())
         .isLessThanOrEqualTo(-Duration.ofSeconds(6).toNanos());
@@ -109,7 +111,7 @@
   @Test
   void shouldAnswerAfterTheHoldTimeEvenIfNothingChanged() {
     CompletableFuture<PeerMessage> pending = query(5);
-    advance(ReplicaServer.HOLD_TIME);
+    advance(HOLD_TIME);
 
     assertThat(answerOf(pending).tables().get(0).rows()).isEmpty();
     assertThat(answerOf(pending).checkedAfterNanos()).isNegative();
--- /dev/null
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicChecksTest.java
@@ -0,0 +1,42 @@
+package org.guavagw.gateway.internal.relay;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PeriodicChecksTest {
+  private final PeriodicChecks checks = new PeriodicChecks();
+  private final List<String> run = new ArrayList<>();
+
+  @Test
+  void shouldRunEachCheckUntilItIsOver() {
+    checks.add(
+        () -> {
+          run.add("first");
+          return run.size() < 3;
+        });
+
+    for (int i = 0; i < 5; i++) {
+      checks.run();
+    }
+
+    assertThat(run).hasSize(3);
+  }
+
+  @Test
+  void shouldRunACheckThatAnotherOneAddsTheNextTime() {
+    checks.add(
+        () -> {
+          checks.add(() -> run.add("added") && false);
+          return false;
+        });
+
+    checks.run();
+    assertThat(run).isEmpty();
+
+    checks.run();
+    assertThat(run).containsExactly("added");
+  }
+}
