--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import org.guavagw.gateway.internal.control.ControlPlane;
 import org.guavagw.gateway.internal.control.ControlState;
 import org.guavagw.gateway.internal.control.CurrentControlView;
+import org.guavagw.gateway.internal.control.HubTiming;
 import org.guavagw.gateway.internal.control.MemberTable;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
@@ -69,22 +70,11 @@
     this.currentView = new CurrentControlView(clocks);
     ControlStore store = closer.register(adapter.openStore(control, controlLoop, metrics));
     ControlState state = new ControlState(format, currentView, controlLoop, clocks, log);
-    PeerMessenger peers =
-        closer.register(
-            new PeerMessenger(
-                settings.nodeName(),
-                settings.peerAddress(),
-                settings.peerSecret(),
-                trafficLoop,
-                metrics.registry()));
-    Member self =
-        new Member(
-            settings.nodeName(),
-            settings.dataCentre(),
-            settings.peerAddress().getHostString(),
-            settings.peerAddress().getPort());
-    MemberTable members = new MemberTable(self, store, format, controlLoop, log, peers::onMembers);
-    HubSelector hubs = new HubSelector(members::current, ticker);
+    PeerMessenger peers = closer.register(openPeers(trafficLoop, metrics));
+    MemberTable members =
+        new MemberTable(self(), store, format, controlLoop, log, peers::onMembers);
+    HubTiming hubTiming = HubTiming.within(settings.configLimit());
+    HubSelector hubs = new HubSelector(members::current, hubTiming.minMembers(), ticker);
     RolloutManager rollouts =
         new RolloutManager(
             currentView, store, format, trafficLoop, controlLoop, peers, members::current, log);
@@ -117,14 +107,35 @@
                 controlLoop,
                 clocks,
                 log,
-                settings.configLimit()));
-    peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
-    peers.onRequest(ConfigQuery.class, (from, query) -> plane.onQuery(query));
+                hubTiming));
+    answerPeers(peers, plane);
     this.metricsServer = serveMonitoring(traffic, metrics, members, plane);
     plane.start();
     rollouts.start();
   }
 
+  private PeerMessenger openPeers(EventLoop trafficLoop, GatewayMetrics metrics) {
+    return new PeerMessenger(
+        settings.nodeName(),
+        settings.peerAddress(),
+        settings.peerSecret(),
+        trafficLoop,
+        metrics.registry());
+  }
+
+  private static void answerPeers(PeerMessenger peers, ControlPlane plane) {
+    peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
+    peers.onRequest(ConfigQuery.class, (from, query) -> plane.onQuery(query));
+  }
+
+  private Member self() {
+    return new Member(
+        settings.nodeName(),
+        settings.dataCentre(),
+        settings.peerAddress().getHostString(),
+        settings.peerAddress().getPort());
+  }
+
   private MonitoringServer serveMonitoring(
       Transport traffic, GatewayMetrics metrics, MemberTable members, ControlPlane plane) {
     closer.register(new MonitoringServer(traffic, settings.readyAddress(), this::readiness));
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -22,11 +22,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class ControlPlane implements AutoCloseable, StoreListener {
-  /**
-   * Each answer confirms that the orders are current, well within the time limit for revoking keys.
-   */
-  private static final Duration ORDERS_POLL_TIMEOUT = Duration.ofMillis(1500);
-
   /** Changes end the long poll at once, so a shorter timeout would only add calls. */
   private static final Duration DEFAULT_POLL_TIMEOUT = Duration.ofSeconds(8);
 
@@ -52,6 +47,8 @@
   private final MemberTable memberTable;
   private final ScheduledExecutorService control;
   private final StoreHealth health;
+  private final HubSelector hubSelector;
+  private final TableReplica members;
   private final List<TableReplica> replicas;
   private final List<TablePoller> pollers;
   private final ReplicaServer replicaServer;
@@ -61,11 +58,7 @@
   private final EventLog log;
   private final AtomicLong restores = new AtomicLong();
 
-  /**
-   * Creates a control plane that is idle until {@link #start}.
-   *
-   * @param configLimit time within which a configuration must be in force everywhere
-   */
+  /** Creates a control plane that is idle until {@link #start}. */
   public ControlPlane(
       ControlStore store,
       ControlFormat format,
@@ -77,8 +70,7 @@
       ScheduledExecutorService control,
       Clocks clocks,
       EventLog log,
-      Duration configLimit) {
-    HubTiming hubTiming = HubTiming.within(configLimit);
+      HubTiming hubTiming) {
     this.state = state;
     this.memberTable = memberTable;
     this.control = control;
@@ -90,7 +82,8 @@
     TableReplica orders = new TableReplica(format.ordersTable(), state.ordersListener());
     TableReplica backends = new TableReplica(format.backendsTable(), state.backendsListener());
     TableReplica status = new TableReplica(format.statusTable(), state.statusListener());
-    TableReplica members = new TableReplica(format.membersTable(), memberTable);
+    this.hubSelector = hubSelector;
+    this.members = new TableReplica(format.membersTable(), memberTable);
     this.replicas = List.of(orders, backends, status, members);
     this.replicaServer =
         new ReplicaServer(
@@ -104,11 +97,6 @@
             currentView,
             control,
             clocks);
-    PollTiming ordersTiming =
-        new PollTiming(
-            () -> replicaServer.hasFollowers() ? hubTiming.pollTimeout() : ORDERS_POLL_TIMEOUT,
-            () -> Duration.ZERO,
-            FIRST_POLL_DELAY);
     PollTiming backendsTiming =
         new PollTiming(() -> DEFAULT_POLL_TIMEOUT, this::backendsBatchDelay, FIRST_POLL_DELAY);
     PollTiming statusTiming =
@@ -117,12 +105,10 @@
         new PollTiming(() -> MEMBERS_POLL_TIMEOUT, () -> MEMBERS_BATCH_DELAY, Duration.ZERO);
     this.pollers =
         List.of(
-            new TablePoller(orders, ordersTiming, store, health, era, this, control, clocks, log),
-            new TablePoller(
-                backends, backendsTiming, store, health, era, this, control, clocks, log),
-            new TablePoller(status, statusTiming, store, health, era, this, control, clocks, log),
-            new TablePoller(
-                members, membersTiming, store, health, era, this, control, clocks, log));
+            poller(orders, ordersTiming(hubTiming), store, clocks),
+            poller(backends, backendsTiming, store, clocks),
+            poller(status, statusTiming, store, clocks),
+            poller(members, membersTiming, store, clocks));
     this.hubFollower =
         new HubFollower(
             replicas,
@@ -139,6 +125,21 @@
             log);
   }
 
+  private PollTiming ordersTiming(HubTiming hubTiming) {
+    return new PollTiming(
+        () ->
+            replicaServer.hasFollowers()
+                ? hubTiming.pollTimeout()
+                : HubTiming.UNFOLLOWED_POLL_TIMEOUT,
+        () -> Duration.ZERO,
+        FIRST_POLL_DELAY);
+  }
+
+  private TablePoller poller(
+      TableReplica replica, PollTiming timing, ControlStore store, Clocks clocks) {
+    return new TablePoller(replica, timing, store, health, era, this, control, clocks, log);
+  }
+
   private void refreshOrders() {
     pollers.get(0).refresh();
   }
@@ -199,6 +200,9 @@
 
   @Override
   public void onReplicaChanged() {
+    if (members.isLoaded() && hubSelector.hubToFollow().isEmpty()) {
+      pollers.forEach(TablePoller::startPolls);
+    }
     replicaServer.onReplicaChanged();
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -302,7 +302,7 @@
     }
     BackendServer next = b.server();
     if (next.draining()) {
-      departed.onDraining(next.incarnation(), nowNanos);
+      departed.add(next.incarnation(), nowNanos);
     } else if (!departed.mayServe(next.incarnation(), fromCopy)) {
       next = next.asDraining();
     }
@@ -338,7 +338,7 @@
   private void remove(String id) {
     BackendServer removed = backends.remove(id);
     if (removed != null) {
-      departed.onGone(removed.incarnation(), clocks.monotonic().read());
+      departed.add(removed.incarnation(), clocks.monotonic().read());
     }
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/DepartedServers.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/DepartedServers.java
@@ -7,22 +7,17 @@
 /**
  * Incarnations of backend servers that drained or whose registration is gone.
  *
- * <p>Keeps a store that was restored from a copy from bringing them back: an incarnation that
- * drained never serves again; one whose registration had gone serves again only if it registers
- * anew. Not thread-safe.
+ * <p>Keeps a store that was restored from a copy from bringing them back: they serve again only if
+ * they register anew. Not thread-safe.
  */
 final class DepartedServers {
   /** How long an incarnation is remembered; copies of the store are much younger. */
   private static final long MEMORY_NANOS = Duration.ofMinutes(10).toNanos();
 
-  private final Map<String, Departure> departures = new HashMap<>();
+  private final Map<String, Long> departedNanos = new HashMap<>();
 
-  void onDraining(String incarnation, long nowNanos) {
-    departures.put(incarnation, new Departure(true, nowNanos));
-  }
-
-  void onGone(String incarnation, long nowNanos) {
-    departures.putIfAbsent(incarnation, new Departure(false, nowNanos));
+  void add(String incarnation, long nowNanos) {
+    departedNanos.put(incarnation, nowNanos);
   }
 
   /**
@@ -31,14 +26,13 @@
    * @param fromCopy whether the registration was read from a copy, rather than written just now
    */
   boolean mayServe(String incarnation, boolean fromCopy) {
-    Departure departure = departures.get(incarnation);
-    return departure == null || !(departure.drained() || fromCopy);
+    if (!fromCopy) {
+      departedNanos.remove(incarnation);
+    }
+    return !departedNanos.containsKey(incarnation);
   }
 
   void expire(long nowNanos) {
-    departures.values().removeIf(d -> nowNanos - d.nanos() > MEMORY_NANOS);
+    departedNanos.values().removeIf(departed -> nowNanos - departed > MEMORY_NANOS);
   }
-
-  /** How and when an incarnation departed. Immutable. */
-  private record Departure(boolean drained, long nanos) {}
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubTiming.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubTiming.java
@@ -12,7 +12,13 @@
  * @param holdTime how long a hub holds a follower's query while nothing changes
  * @param maxOrdersAge age of a hub's orders at which its followers take it to have lost the store
  */
-record HubTiming(Duration pollTimeout, Duration holdTime, Duration maxOrdersAge) {
+public record HubTiming(Duration pollTimeout, Duration holdTime, Duration maxOrdersAge) {
+  /**
+   * How long the store may hold a poll for orders of an entry that nobody follows: each answer
+   * confirms that the orders are current, well within the time limit for revoking keys.
+   */
+  static final Duration UNFOLLOWED_POLL_TIMEOUT = Duration.ofMillis(1500);
+
   private static final Duration MIN_POLL_TIMEOUT = Duration.ofMillis(500);
   private static final Duration MAX_POLL_TIMEOUT = Duration.ofMillis(1200);
 
@@ -32,7 +38,7 @@
    *
    * @param configLimit time within which a configuration must be in force everywhere
    */
-  static HubTiming within(Duration configLimit) {
+  public static HubTiming within(Duration configLimit) {
     long wantedMillis = configLimit.dividedBy(POLLS_PER_LIMIT).toMillis();
     Duration poll =
         Duration.ofMillis(
@@ -41,4 +47,12 @@
     return new HubTiming(
         poll, poll.multipliedBy(HOLD_PERCENT).dividedBy(100), poll.plus(DELIVERY_TIME));
   }
+
+  /**
+   * Returns the number of entries in a data centre from which a hub that polls for all of them
+   * makes fewer calls than they would.
+   */
+  public int minMembers() {
+    return (int) (UNFOLLOWED_POLL_TIMEOUT.toMillis() / pollTimeout.toMillis()) + 1;
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
@@ -52,6 +52,7 @@
   private final Clocks clocks;
   private final EventLog log;
   private boolean historyLost;
+  private boolean awaitingFirstPoll;
   private boolean running;
   private boolean catchingUp;
   private int failures;
@@ -115,6 +116,14 @@
     }
   }
 
+  /** Polls now if the first poll is scheduled for later. */
+  void startPolls() {
+    if (running && awaitingFirstPoll) {
+      generation++;
+      call();
+    }
+  }
+
   /** Reads the whole table anew, because the store was restored. */
   void reload() {
     if (running) {
@@ -126,6 +135,7 @@
   private void call() {
     ClockReading sentAt = ClockReading.now(clocks);
     long callGeneration = generation;
+    awaitingFirstPoll = false;
     if (replica.isLoaded() && !historyLost && replica.era() == era.current()) {
       Duration timeout = catchingUp ? IMMEDIATE_POLL_TIMEOUT : timing.timeout();
       store
@@ -200,7 +210,9 @@
     onSuccess();
     replica.applySnapshot(batch, sentAt, nowNanos());
     listener.onReplicaChanged();
-    callAfter(first ? timing.firstPollDelay() : Duration.ZERO);
+    Duration delay = first ? timing.firstPollDelay() : Duration.ZERO;
+    awaitingFirstPoll = !delay.isZero();
+    callAfter(delay);
   }
 
   private void onChanges(ClockReading sentAt, Duration timeout, RowBatch batch, Throwable failure) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/HubSelector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/HubSelector.java
@@ -17,26 +17,29 @@
  * same one. Thread-safe.
  */
 public final class HubSelector {
-  /** With fewer entries in the data centre a hub saves no calls. */
-  static final int MIN_MEMBERS = 4;
-
   /** How long an entry that failed as a hub is avoided; a restart takes a few seconds. */
   private static final Duration AVOIDANCE_TIME = Duration.ofSeconds(8);
 
   private final Supplier<Members> members;
+  private final int minMembers;
   private final Ticker ticker;
   private final Map<String, Long> avoidedUntilNanos = new ConcurrentHashMap<>();
 
-  /** Creates a selector over the current members. */
-  public HubSelector(Supplier<Members> members, Ticker ticker) {
+  /**
+   * Creates a selector over the current members.
+   *
+   * @param minMembers number of entries in the data centre from which they replicate from a hub
+   */
+  public HubSelector(Supplier<Members> members, int minMembers, Ticker ticker) {
     this.members = members;
+    this.minMembers = minMembers;
     this.ticker = ticker;
   }
 
   /** Returns the hub from which this entry replicates; empty if it is to read the store itself. */
   public Optional<String> hubToFollow() {
     Members current = members.get();
-    return current.rankedLocalMembers().size() < MIN_MEMBERS
+    return current.rankedLocalMembers().size() < minMembers
         ? Optional.empty()
         : hub().filter(name -> !name.equals(current.self()));
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
@@ -47,7 +47,7 @@
             List.of(replica),
             new StoreEra(previous -> {}),
             HubTiming.within(Duration.ofSeconds(2)),
-            new HubSelector(() -> members, clock),
+            new HubSelector(() -> members, 4, clock),
             (entry, message, timeout) -> {
               CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
               pendingQueries.add(answer);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubTimingTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubTimingTest.java
@@ -16,6 +16,12 @@
     assertThat(HubTiming.within(Duration.ofMillis(limit)).pollTimeout()).hasMillis(poll);
   }
 
+  @ParameterizedTest
+  @CsvSource({"2000,4", "3000,3", "4000,2"})
+  void shouldUseAHubFromTheNumberOfEntriesAtWhichItSavesCalls(long limit, int entries) {
+    assertThat(HubTiming.within(Duration.ofMillis(limit)).minMembers()).isEqualTo(entries);
+  }
+
   @ParameterizedTest
   @CsvSource({"2000", "3000", "4000", "7000"})
   void shouldLeaveTimeToCatchUpAfterAHubWasLost(long limit) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TablePollerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/TablePollerTest.java
@@ -71,6 +71,31 @@
     assertThat(lastChecked.age(clock.clocks())).isEqualTo(Duration.ofSeconds(6));
   }
 
+  @Test
+  void shouldDelayTheFirstPollUntilItIsToldToStart() {
+    PollTiming timing =
+        new PollTiming(() -> POLL_TIMEOUT, () -> Duration.ZERO, Duration.ofSeconds(1));
+    TablePoller delayed =
+        new TablePoller(
+            new TableReplica("delayed", new CheckRecorder()),
+            timing,
+            store,
+            health,
+            new StoreEra(previous -> {}),
+            new NoListener(),
+            control.eventLoop(),
+            clock.clocks(),
+            log);
+    delayed.start();
+    store.answer("delayed", 7);
+    assertThat(store.hasPending("delayed")).isFalse();
+
+    delayed.startPolls();
+    assertThat(store.pending("delayed").kind()).isEqualTo("feed");
+    advance(Duration.ofSeconds(2));
+    assertThat(store.calls("delayed")).hasSize(2);
+  }
+
   @Test
   void shouldReadTheWholeTableAnewWhenAnyAnswerShowsANewEra() {
     store.setEra(1);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/HubSelectorTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/HubSelectorTest.java
@@ -60,7 +60,7 @@
 
   private HubSelector selectorOf(Member self, List<Member> all) {
     Members members = new Members(self.name(), all);
-    return new HubSelector(() -> members, clock);
+    return new HubSelector(() -> members, 4, clock);
   }
 
   private static List<Member> entries(int count) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
@@ -132,7 +132,7 @@
     Entry(String name) {
       this.name = name;
       Members known = new Members(name, members);
-      this.hubs = new HubSelector(() -> known, clock);
+      this.hubs = new HubSelector(() -> known, 4, clock);
       this.sender =
           new WorkReportSender(loads, () -> known, hubs, availability::leavingToTell, this::send);
     }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
@@ -218,7 +218,7 @@
     Entry(String name) {
       this.name = name;
       Members members = new Members(name, all);
-      this.hubs = new HubSelector(() -> members, clock);
+      this.hubs = new HubSelector(() -> members, 4, clock);
       this.sender =
           new WorkReportSender(
               loads,
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicChecksTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicChecksTest.java
@@ -29,7 +29,7 @@
   void shouldRunACheckThatAnotherOneAddsTheNextTime() {
     checks.add(
         () -> {
-          checks.add(() -> run.add("added") && false);
+          checks.add(() -> !run.add("added"));
           return false;
         });
 
