Move the registrations of backend servers out of the control state

Cause: ControlState decoded rows, kept four kinds of state and built the view. Change: RegisteredBackends keeps the registrations, those that may have lapsed and those that departed; ControlState decodes and publishes. Result: no change of behaviour; the tests of the control state pass.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -1,18 +1,14 @@
 package org.guavagw.gateway.internal.control;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.routing.RouteTable;
-import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.GatewayConfig;
 import org.guavagw.gateway.model.RolloutOrder;
 import org.guavagw.gateway.spi.ControlFormat;
@@ -44,15 +40,13 @@
   private final CurrentControlView currentView;
   private final EventLog log;
   private final Clocks clocks;
-  private final Map<String, BackendServer> backends = new HashMap<>();
-  private final DepartedServers departed = new DepartedServers();
+  private final RegisteredBackends backends;
   private final ObservedOrders orders = new ObservedOrders();
   private final ReportedStatuses statuses = new ReportedStatuses();
   private Optional<GatewayConfig> config = Optional.empty();
   private Optional<StoredRow> configRow = Optional.empty();
   private long storedConfigVersion = Long.MIN_VALUE;
   private RouteTable routes = new RouteTable(List.of());
-  private final Set<String> lapsed = new HashSet<>();
   private boolean storeFailing;
   private boolean lapseGraceStarted;
   private long lapseGraceEndNanos;
@@ -70,6 +64,7 @@
     this.currentView = currentView;
     this.log = log;
     this.clocks = clocks;
+    this.backends = new RegisteredBackends(log);
   }
 
   TableListener ordersListener() {
@@ -115,27 +110,22 @@
     return new TableListener() {
       @Override
       public void onSnapshot(List<StoredRow> rows, long nowNanos) {
-        Set<String> gone = new HashSet<>(backends.keySet());
-        rows.forEach(row -> gone.remove(row.key()));
-        gone.forEach(id -> removeBackend(id));
+        removeMissing(rows, nowNanos);
         backendsKnown = true;
         onChanges(rows, nowNanos);
       }
 
       @Override
       public void onRestored(List<StoredRow> rows, long nowNanos) {
-        Set<String> missing = new HashSet<>(backends.keySet());
-        rows.forEach(row -> missing.remove(row.key()));
-        missing.forEach(id -> removeBackend(id));
+        int missing = removeMissing(rows, nowNanos);
         rows.forEach(row -> applyBackend(row, nowNanos, true));
-        logRestored(format.backendsTable(), rows, missing.size());
+        logRestored(format.backendsTable(), rows, missing);
         publish();
       }
 
       @Override
       public void onChanges(List<StoredRow> rows, long nowNanos) {
         rows.forEach(row -> applyBackend(row, nowNanos, false));
-        departed.expire(nowNanos);
         publish();
       }
     };
@@ -290,69 +280,29 @@
 
   private void applyBackend(StoredRow row, long nowNanos, boolean fromCopy) {
     if (row.removed()) {
-      removeBackend(row.key());
+      backends.onGone(row.key(), lapsesExpected(), nowNanos);
       return;
     }
-    lapsed.remove(row.key());
     ControlRow decoded = format.decode(format.backendsTable(), row, nowNanos);
-    if (!(decoded instanceof ControlRow.Backend b)) {
-      backends.remove(row.key());
+    if (decoded instanceof ControlRow.Backend b) {
+      backends.register(row.key(), b.server(), fromCopy, nowNanos);
+    } else {
+      backends.ignore(row.key());
       logUnreadable(format.backendsTable(), row, decoded);
-      return;
-    }
-    BackendServer next = b.server();
-    if (next.draining()) {
-      departed.add(next.incarnation(), nowNanos);
-    } else if (!departed.mayServe(next.incarnation(), fromCopy)) {
-      next = next.asDraining();
-    }
-    BackendServer earlier = backends.put(row.key(), next);
-    if (earlier == null
-        || earlier.draining() != next.draining()
-        || !earlier.incarnation().equals(next.incarnation())) {
-      log.event("backend_changed")
-          .with("backend", next.id())
-          .with("service", next.service())
-          .with("version", next.version())
-          .with("data_centre", next.dataCentre())
-          .with("state", next.draining() ? "draining" : "ready")
-          .with("cold_ms", Math.max(0, (next.coldUntilNanos() - nowNanos) / 1_000_000))
-          .write();
-    }
-  }
-
-  private void removeBackend(String id) {
-    BackendServer server = backends.get(id);
-    if (server == null) {
-      return;
-    }
-    if (lapsesExpected() && !server.draining()) {
-      lapsed.add(id);
-      log.event("backend_lapsed").with("backend", id).write();
-      return;
     }
-    remove(id);
-    log.event("backend_gone").with("backend", id).write();
   }
 
-  private void remove(String id) {
-    BackendServer removed = backends.remove(id);
-    if (removed != null) {
-      departed.add(removed.incarnation(), clocks.monotonic().read());
-    }
+  /** Handles backend servers that a whole table lacks as gone and returns their number. */
+  private int removeMissing(List<StoredRow> rows, long nowNanos) {
+    Set<String> present = rows.stream().map(StoredRow::key).collect(Collectors.toSet());
+    Set<String> missing = backends.idsWithout(present);
+    missing.forEach(id -> backends.onGone(id, lapsesExpected(), nowNanos));
+    return missing.size();
   }
 
   /** Removes backend servers that did not register again in time. */
   private void removeLapsed() {
-    if (lapsesExpected()) {
-      return;
-    }
-    for (String id : lapsed) {
-      remove(id);
-      log.event("backend_gone").with("backend", id).with("reason", "registration lapsed").write();
-    }
-    if (!lapsed.isEmpty()) {
-      lapsed.clear();
+    if (!lapsesExpected() && backends.removeLapsed(clocks.monotonic().read())) {
       publish();
     }
   }
@@ -385,12 +335,8 @@
   }
 
   private void publish() {
-    Map<String, List<BackendServer>> byService = new HashMap<>();
-    for (BackendServer server : backends.values()) {
-      byService.computeIfAbsent(server.service(), s -> new ArrayList<>()).add(server);
-    }
-    byService.replaceAll((service, list) -> List.copyOf(list));
     Orders published = new Orders(orders.rollouts(), statuses.byService(), orders.evacuated());
-    currentView.publish(new ControlView(config, routes, byService, published, backendsKnown));
+    currentView.publish(
+        new ControlView(config, routes, backends.byService(), published, backendsKnown));
   }
 }
