Fail an attempt at once whose connection closed before it was sent

Cause: since a lagging entry waits for the next reads before it sends on a new connection, the backend server may close that connection in between. Its end had then been noticed already, and the attempt would have waited for its deadline. Change: the connection is checked before the request is sent on it. Result: a test with a server that closes at once, which fails without the check.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
@@ -127,6 +127,10 @@
     try {
       if (pending.cancelled()) {
         connection.close();
+      } else if (!connection.isUsable()) {
+        // The backend server closed the connection while the request waited for the barrier.
+        connection.close();
+        listener.onFailed(AttemptFailure.UNREACHABLE);
       } else if (request.stillWanted().getAsBoolean()) {
         pending.onSent(connection.send(request, listener));
       } else {
