Log the prompt of a request whose server ends before it answers

attempt_failed now names the parts of the prompt if the connection ended before the server had sent a part of the answer. No decision changes.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
@@ -44,6 +44,11 @@
     return this == UNREACHABLE || this == NO_CONNECTION || this == WITHDRAWN;
   }
 
+  /** Returns whether the connection ended after the request was sent. */
+  boolean connectionLost() {
+    return this == BROKEN || this == STALE_CONNECTION;
+  }
+
   /** Returns whether the attempt does not count towards the maximum attempts of the route. */
   boolean turnedAway() {
     return this == NOT_EXECUTED || this == STALE_CONNECTION;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
@@ -21,6 +21,7 @@
   private final long sentNanos;
   private long lastReceivedNanos;
   private boolean answerStarted;
+  private boolean hasEvents;
   private boolean countedAsExecuted;
   private boolean prefillFinished;
 
@@ -75,8 +76,14 @@
     loads.onAnswerStarted(server, sentNanos);
   }
 
+  /** Returns whether the backend server has sent a part of the answer itself. */
+  boolean hasEvents() {
+    return hasEvents;
+  }
+
   /** Records an event of the stream; the time to the first one updates the prefill estimate. */
   void onEvent(boolean isFirst) {
+    hasEvents = true;
     if (isFirst && !prefillFinished) {
       loads.onFirstEvent(prefill, (lastReceivedNanos - sentNanos) / NANOS_PER_MILLI);
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -350,8 +350,7 @@
   /** Retries after a server error. Requires that {@link #tryAcquireRetry} returned true. */
   void retryAfterServerError() {
     outcomes.reportFailure(progress.server());
-    log.attemptFailed(
-        progress.server(), AttemptFailure.SERVER_ERROR, eventsForwarded, progress.sentNanos());
+    log.attemptFailed(progress, AttemptFailure.SERVER_ERROR, eventsForwarded);
     endAttempt();
     dispatch();
   }
@@ -361,7 +360,7 @@
       return;
     }
     long now = shared.ticker().read();
-    log.attemptFailed(progress.server(), failure, eventsForwarded, progress.sentNanos());
+    log.attemptFailed(progress, failure, eventsForwarded);
     outcomes.reportAttemptFailure(progress, model, failure, now);
     if (failure.turnedAway()) {
       turnedAway++;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
@@ -1,10 +1,12 @@
 package org.guavagw.gateway.internal.relay;
 
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.placement.PrefillEstimate;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.Team;
+import org.guavagw.gateway.spi.PromptPart;
 
 /** Writes the log lines and metrics of one exchange. Traffic thread only. */
 final class ExchangeLog {
@@ -37,16 +39,26 @@
     line.write();
   }
 
-  void attemptFailed(BackendServer server, AttemptFailure failure, int events, long sentNanos) {
+  void attemptFailed(AttemptProgress attempt, AttemptFailure failure, int events) {
     shared.metrics().onAttemptFailed(failure.name());
-    failure("attempt_failed")
-        .with("backend", server.id())
-        .with("backend_version", server.version())
-        .with("data_centre", server.dataCentre())
-        .with("failure", failure.name())
-        .with("events_passed", events)
-        .with("after_ms", (shared.ticker().read() - sentNanos) / NANOS_PER_MILLI)
-        .write();
+    BackendServer server = attempt.server();
+    EventLog.Line line =
+        failure("attempt_failed")
+            .with("backend", server.id())
+            .with("backend_version", server.version())
+            .with("data_centre", server.dataCentre())
+            .with("failure", failure.name())
+            .with("events_passed", events)
+            .with("after_ms", (shared.ticker().read() - attempt.sentNanos()) / NANOS_PER_MILLI);
+    if (failure.connectionLost() && !attempt.hasEvents()) {
+      // Requests that wait on servers that end one after the other may have a part in common.
+      line.with("prompt", promptIds());
+    }
+    line.write();
+  }
+
+  private String promptIds() {
+    return request.caller().prompt().stream().map(PromptPart::id).collect(Collectors.joining(","));
   }
 
   void answerDropped(String model, int confidence) {
