Hold prompt parts under which backend servers end one after the other

Callers of a route got 502 one time in two, as one request after the other ended the server that began to answer it, and each was sent to up to three servers.

Cause: what an attempt shows was kept for its server alone and nothing for the request. A request whose server ends is sent to the next server, and the next request like it starts anew, at every entry.

Change: a lost connection on which a request with an unproven part waited is checked by a new one; if there is none, the server has ended and the request is a suspect. PromptQuarantine joins the suspects of all entries, which travel as notices with the work reports, and holds the part that explains the ends (CulpritFinder). Parts with which a request was answered in the last minute are sound, wherever that was. A request under which two servers may have ended is not sent to a third. Held requests get 503 'not run' and the time of the next test as Retry-After; attempts that wait are cancelled. After 30 s one entry tests with one request. The counts of an exchange moved to AttemptCounts.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
@@ -1,23 +1,19 @@
 package org.guavagw.gateway.internal.peers;
 
-import com.google.common.collect.Sets;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
 
 /**
- * Work at backend servers, and which of them are leaving. Immutable.
+ * Work at backend servers, and what else is to be known of them. Immutable.
  *
  * @param byIncarnation work by incarnation, without backend servers that have none
- * @param leaving incarnations that said of late that they are leaving
  */
-public record ServerWork(Map<String, Work> byIncarnation, Set<String> leaving) {
+public record ServerWork(Map<String, Work> byIncarnation, ServerNotices notices) {
   /** No work at any backend server. */
-  public static final ServerWork NONE = new ServerWork(Map.of(), Set.of());
+  public static final ServerWork NONE = new ServerWork(Map.of(), ServerNotices.NONE);
 
   public ServerWork {
     byIncarnation = Map.copyOf(byIncarnation);
-    leaving = Set.copyOf(leaving);
   }
 
   // The generated method links method handles on first use, which slows down the start.
@@ -25,7 +21,7 @@
   public boolean equals(Object other) {
     return other instanceof ServerWork w
         && byIncarnation.equals(w.byIncarnation)
-        && leaving.equals(w.leaving);
+        && notices.equals(w.notices);
   }
 
   @Override
@@ -42,16 +38,16 @@
   public ServerWork plus(ServerWork other) {
     Map<String, Work> sum = new HashMap<>(byIncarnation);
     other.byIncarnation.forEach((incarnation, work) -> sum.merge(incarnation, work, Work::plus));
-    return new ServerWork(sum, Sets.union(leaving, other.leaving));
+    return new ServerWork(sum, notices.plus(other.notices));
   }
 
-  /** Returns this work without a part of it; all leaving incarnations stay. */
+  /** Returns this work without a part of it; all notices stay. */
   public ServerWork minus(ServerWork part) {
     Map<String, Work> rest = new HashMap<>(byIncarnation);
     part.byIncarnation.forEach(
         (incarnation, work) ->
             rest.computeIfPresent(incarnation, (i, all) -> all.minus(work).orNullIfNone()));
-    return new ServerWork(rest, leaving);
+    return new ServerWork(rest, notices);
   }
 
   /**
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.internal.peers.ServerWork;
 import org.guavagw.gateway.internal.peers.ServerWork.Work;
 import org.guavagw.gateway.model.BackendServer;
@@ -81,8 +82,8 @@
     return peerReports;
   }
 
-  /** Returns the work of this entry, with the leaving incarnations that it tells of. */
-  public ServerWork ownWork(Set<String> leaving) {
+  /** Returns the work of this entry, with what else it tells others. */
+  public ServerWork ownWork(ServerNotices notices) {
     Map<String, Work> work = new HashMap<>();
     loads.forEach(
         (incarnation, load) -> {
@@ -90,7 +91,7 @@
             work.put(incarnation, new Work(load.inFlight(), load.pendingPrefillMillis()));
           }
         });
-    return new ServerWork(work, leaving);
+    return new ServerWork(work, notices);
   }
 
   /** Records that an attempt was sent and returns the estimate of its prefill. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportReceiver.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportReceiver.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.IntSupplier;
-import org.guavagw.gateway.internal.limits.ServerAvailability;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
@@ -14,7 +13,7 @@
 import org.guavagw.gateway.internal.peers.WorkSummary;
 
 /**
- * Takes what other entries report of backend servers into their load and availability.
+ * Takes what other entries report of backend servers into their load and passes on the notices.
  *
  * <p>A message with a figure that cannot be true is logged, counted and not used. Confined to the
  * traffic thread.
@@ -30,7 +29,7 @@
   private static final double MAX_WAITING_MILLIS = Duration.ofHours(1).toMillis();
 
   private final PeerWorkReports reports;
-  private final ServerAvailability availability;
+  private final NoticeListener notices;
   private final IntSupplier maxConnections;
   private final Ticker ticker;
   private final EventLog log;
@@ -39,17 +38,18 @@
   /**
    * Creates a receiver.
    *
+   * @param notices receives what entries tell beside their work
    * @param maxConnections the largest number of connections that any backend server accepts
    */
   public WorkReportReceiver(
       LoadTracker loads,
-      ServerAvailability availability,
+      NoticeListener notices,
       IntSupplier maxConnections,
       Ticker ticker,
       EventLog log,
       GatewayMetrics metrics) {
     this.reports = loads.peerReports();
-    this.availability = availability;
+    this.notices = notices;
     this.maxConnections = maxConnections;
     this.ticker = ticker;
     this.log = log;
@@ -60,7 +60,7 @@
   public void onReport(String entry, WorkReport report) {
     if (isPlausible(entry, report.work())) {
       reports.onReport(entry, report, ticker.read());
-      learnLeaving(entry, report.work());
+      passOnNotices(entry, report.work());
     }
   }
 
@@ -68,7 +68,7 @@
   public void onDataCentreWork(String hub, DataCentreWork report) {
     if (isPlausible(hub, report.work())) {
       reports.onDataCentreWork(hub, report, ticker.read());
-      learnLeaving(hub, report.work());
+      passOnNotices(hub, report.work());
     }
   }
 
@@ -76,12 +76,12 @@
   public void onSummary(String hub, WorkSummary summary) {
     if (isPlausible(hub, summary.work())) {
       reports.onSummary(hub, summary, ticker.read());
-      learnLeaving(hub, summary.work());
+      passOnNotices(hub, summary.work());
     }
   }
 
-  private void learnLeaving(String sender, ServerWork work) {
-    availability.onReport(sender, work.leaving(), ticker.read());
+  private void passOnNotices(String sender, ServerWork work) {
+    notices.onNotices(sender, work.notices(), ticker.read());
   }
 
   private boolean isPlausible(String sender, ServerWork work) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
@@ -14,6 +14,7 @@
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
+import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.internal.peers.ServerWork;
 import org.guavagw.gateway.internal.peers.WorkReport;
 import org.guavagw.gateway.internal.peers.WorkSummary;
@@ -52,33 +53,33 @@
   private final LoadTracker loads;
   private final Supplier<Members> members;
   private final HubSelector hubSelector;
-  private final LongFunction<Set<String>> leaving;
+  private final LongFunction<ServerNotices> notices;
   private final BiConsumer<String, PeerMessage> send;
   private final Map<String, Sent> sent = new HashMap<>();
 
   /**
    * Creates a sender.
    *
-   * @param leaving returns the leaving incarnations to tell of at a monotonic time
+   * @param notices returns what else other entries are to be told at a monotonic time
    * @param send sends a report to an entry
    */
   public WorkReportSender(
       LoadTracker loads,
       Supplier<Members> members,
       HubSelector hubSelector,
-      LongFunction<Set<String>> leaving,
+      LongFunction<ServerNotices> notices,
       BiConsumer<String, PeerMessage> send) {
     this.loads = loads;
     this.members = members;
     this.hubSelector = hubSelector;
-    this.leaving = leaving;
+    this.notices = notices;
     this.send = send;
   }
 
   /** Sends the reports that are due. */
   public void tick(long nowNanos) {
     Members known = members.get();
-    ServerWork own = loads.ownWork(leaving.apply(nowNanos));
+    ServerWork own = loads.ownWork(notices.apply(nowNanos));
     if (known.all().size() <= MAX_MESH_ENTRIES) {
       loads.peerReports().use(WorkSource.ENTRIES, known);
       sendToAll(known, own, nowNanos);
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptCounts.java
@@ -0,0 +1,115 @@
+package org.guavagw.gateway.internal.relay;
+
+import org.guavagw.gateway.internal.limits.RetryBudget;
+
+/**
+ * Counts the attempts of one request by what became of them and decides whether there may be
+ * another. Traffic thread only.
+ *
+ * <p>Invariant: a request is proven not to have run only while no attempt may have been executed.
+ */
+final class AttemptCounts {
+  /**
+   * Attempts that may be turned away without being executed, or fail on a stale connection, and
+   * still be retried; these do not count towards the maximum attempts of the route.
+   */
+  private static final int MAX_TURNED_AWAY = 3;
+
+  /**
+   * Backend servers that may end while a request waits there; more would be lost to it if it is the
+   * cause.
+   */
+  private static final int MAX_SERVERS_ENDED = 2;
+
+  private final int maxAttempts;
+  private final RetryBudget budget;
+  private int executed;
+  private int turnedAway;
+  private int serversEnded;
+  private boolean provenNotRun = true;
+
+  /**
+   * Creates counts of a request without attempts.
+   *
+   * @param maxAttempts attempts of the route that may be executed
+   */
+  AttemptCounts(int maxAttempts, RetryBudget budget) {
+    this.maxAttempts = maxAttempts;
+    this.budget = budget;
+  }
+
+  /** Returns the attempts that may have been executed. */
+  int executed() {
+    return executed;
+  }
+
+  /** Returns the attempts that were turned away, or failed on a stale connection. */
+  int turnedAway() {
+    return turnedAway;
+  }
+
+  /** Returns whether no attempt can have been executed. */
+  boolean provenNotRun() {
+    return provenNotRun;
+  }
+
+  /** Counts an attempt that may be executed, once. */
+  void onMayHaveRun(AttemptProgress attempt) {
+    provenNotRun = false;
+    if (attempt.countAsExecuted()) {
+      executed++;
+    }
+  }
+
+  /** Counts an attempt whose outcome is not known yet and will not be awaited. */
+  void onAbandoned() {
+    provenNotRun = false;
+  }
+
+  /** Counts an attempt that failed. */
+  void onFailed(AttemptProgress attempt, AttemptFailure failure) {
+    if (failure.turnedAway()) {
+      turnedAway++;
+    }
+    if (failure.mayHaveRun()) {
+      provenNotRun = false;
+    }
+    if (failure.mayHaveRun() && failure != AttemptFailure.STALE_CONNECTION) {
+      onMayHaveRun(attempt);
+    }
+  }
+
+  /** Counts a backend server that may have ended because of the request. */
+  void onServerEnded() {
+    serversEnded++;
+  }
+
+  /** Returns whether the route allows another attempt beside those that were executed. */
+  boolean allowsAnother() {
+    return executed < maxAttempts;
+  }
+
+  /** Returns whether there could be another attempt if a pending one is given up. */
+  boolean allowsReplacing(AttemptProgress pending, long now) {
+    int counted = executed + (pending.countedAsExecuted() ? 0 : 1);
+    return counted < maxAttempts && budget.allowsRetry(now);
+  }
+
+  /** Reserves another attempt if one is allowed and returns whether it is. */
+  boolean tryAnother(long now) {
+    return allowsAnother() && budget.tryRetry(now);
+  }
+
+  /** Reserves another attempt after a failed one if one is allowed and returns whether it is. */
+  boolean tryRetryAfter(AttemptFailure failure, long now) {
+    if (failure.unsent()) {
+      return true;
+    }
+    if (failure == AttemptFailure.QUARANTINED
+        || serversEnded >= MAX_SERVERS_ENDED
+        || turnedAway > MAX_TURNED_AWAY) {
+      return false;
+    }
+    return tryAnother(now);
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
@@ -27,7 +27,9 @@
    * The answer takes longer than the queue explains, and another backend server is expected to be
    * faster.
    */
-  LATE(true);
+  LATE(true),
+  /** A part of the prompt was found to end backend servers while the request waited. */
+  QUARANTINED(true);
 
   private final boolean mayHaveRun;
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -29,12 +30,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class Exchange {
-  /**
-   * Attempts that may be turned away without being executed, or fail on a stale connection, and
-   * still be retried; these do not count towards the maximum attempts of the route.
-   */
-  private static final int MAX_TURNED_AWAY = 3;
-
   /**
    * Connections that an entry may always have to a backend server, even if its share of that
    * server's connection limit is smaller.
@@ -51,6 +46,7 @@
   private final OutcomeReporter outcomes;
   private final AttemptPlanner planner;
   private final StalledAttemptMonitor monitor;
+  private final AttemptCounts counts;
   private final Set<String> triedIncarnations = new HashSet<>();
   private final RequestPlan plan;
   private final ScheduledFuture<?> deadlineTimer;
@@ -58,10 +54,8 @@
   private AttemptProgress progress;
   private Attempt attempt;
   private AnswerForwarder forwarder;
-  private int executedAttempts;
-  private int turnedAway;
+  private boolean quarantineTest;
   private boolean firstAttemptSent;
-  private boolean provenNotRun = true;
   private boolean streamStarted;
   private boolean done;
   private int attemptCount;
@@ -79,6 +73,9 @@
     this.planner = new AttemptPlanner(shared, request, plan);
     this.monitor = new StalledAttemptMonitor(shared, request, this);
     this.outcomes = new OutcomeReporter(shared, request.route(), plan);
+    this.counts =
+        new AttemptCounts(
+            request.route().maxAttempts(), shared.retryBudgets().apply(plan.service()));
     this.lastEventId = request.caller().resumeAfter();
     this.model = shared.models().initialModel(request.route(), request.caller());
     this.deadlineTimer =
@@ -100,10 +97,16 @@
       onTimeout();
       return;
     }
+    Optional<Duration> untilTest =
+        shared.crashGuard().quarantine().untilTest(request.caller().prompt(), now);
+    if (untilTest.isPresent()) {
+      refuse(ExchangeRefusals.promptHeld(untilTest.get()));
+      return;
+    }
     ControlView view = shared.currentView().get();
     Optional<BackendServer> chosen = planner.selectServer(model, triedIncarnations, now);
     if (chosen.isEmpty()) {
-      refuse(ExchangeRefusals.noBackendServer(planner.retryDelay(turnedAway > 0, now)));
+      refuse(ExchangeRefusals.noBackendServer(planner.retryDelay(counts.turnedAway() > 0, now)));
       return;
     }
     startAttempt(view, chosen.get(), now);
@@ -116,7 +119,20 @@
 
   private boolean isStillWanted(BackendServer chosen) {
     long now = shared.ticker().read();
-    return !done && !isOver(now) && shared.availability().accepts(chosen, now);
+    return !done
+        && !isOver(now)
+        && !isQuarantined(now)
+        && shared.availability().accepts(chosen, now);
+  }
+
+  private boolean isQuarantined(long now) {
+    return !quarantineTest
+        && shared.crashGuard().quarantine().holds(request.caller().prompt(), now);
+  }
+
+  /** Returns whether the current attempt waits at a backend server that it is likely to end. */
+  boolean endangersServer(long now) {
+    return progress != null && !progress.hasEvents() && isQuarantined(now);
   }
 
   private void startAttempt(ControlView view, BackendServer chosen, long now) {
@@ -125,6 +141,7 @@
         view.config().flatMap(c -> Optional.ofNullable(c.services().get(plan.service())));
     shared.coldStartLimiter().onSent(chosen, now);
     shared.availability().onSent(chosen, now);
+    quarantineTest = shared.crashGuard().quarantine().onSent(request.caller().prompt(), now);
     long cacheTokens = spec.flatMap(ServiceSpec::engine).map(EngineSpec::cacheTokens).orElse(0L);
     double pendingPrefillMillis = shared.loads().totalPendingPrefillMillis(chosen);
     PrefillEstimate prefill =
@@ -178,11 +195,9 @@
 
   /** Returns the backend server that a retry would go to, if a retry is allowed. */
   Optional<BackendServer> retryTarget(long now) {
-    int counted = executedAttempts + (progress.countedAsExecuted() ? 0 : 1);
-    boolean allowed =
-        counted < request.route().maxAttempts()
-            && shared.retryBudgets().apply(plan.service()).allowsRetry(now);
-    return allowed ? planner.selectServer(model, triedIncarnations, now) : Optional.empty();
+    return counts.allowsReplacing(progress, now)
+        ? planner.selectServer(model, triedIncarnations, now)
+        : Optional.empty();
   }
 
   /** Returns the estimated time until a backend server would begin to answer. */
@@ -216,14 +231,7 @@
     shared.availability().onAnswer(progress.server(), answer, now);
     if (!answer.notExecuted()) {
       progress.onAnswerStarted();
-      countAsExecuted();
-      provenNotRun = false;
-    }
-  }
-
-  private void countAsExecuted() {
-    if (progress.countAsExecuted()) {
-      executedAttempts++;
+      counts.onMayHaveRun(progress);
     }
   }
 
@@ -237,6 +245,10 @@
     }
     boolean success = answer.status() < 500;
     if (success) {
+      shared
+          .crashGuard()
+          .quarantine()
+          .onAnswered(request.caller().prompt(), shared.ticker().read());
       reportSuccess();
     } else {
       outcomes.reportFailure(progress.server());
@@ -252,7 +264,11 @@
       event.bytes().release();
       return;
     }
-    progress.onReceived(shared.ticker().read());
+    long now = shared.ticker().read();
+    progress.onReceived(now);
+    if (!progress.hasEvents()) {
+      shared.crashGuard().quarantine().onAnswered(request.caller().prompt(), now);
+    }
     progress.onEvent(lastEventId.isEmpty());
     if (!streamStarted) {
       Optional<String> better = model.flatMap(m -> strongerModel(m, answer));
@@ -260,7 +276,7 @@
         event.bytes().release();
         return;
       }
-      firstEventNanos = shared.ticker().read();
+      firstEventNanos = now;
       startAnswerOnce(head);
     }
     progress.onPrefillFinished();
@@ -293,9 +309,9 @@
 
   private boolean tryStrongerModel(String strongerModel, int confidence) {
     long now = shared.ticker().read();
-    if (executedAttempts >= request.route().maxAttempts()
+    if (!counts.allowsAnother()
         || planner.selectServer(Optional.of(strongerModel), Set.of(), now).isEmpty()
-        || !shared.retryBudgets().apply(plan.service()).tryRetry(now)) {
+        || !counts.tryAnother(now)) {
       return false;
     }
     String weaker = model.orElse("");
@@ -362,55 +378,43 @@
     long now = shared.ticker().read();
     log.attemptFailed(progress, failure, eventsForwarded);
     outcomes.reportAttemptFailure(progress, model, failure, now);
-    if (failure.turnedAway()) {
-      turnedAway++;
+    counts.onFailed(progress, failure);
+    if (failure.connectionLost() && !progress.hasEvents() && mayHaveEndedServer()) {
+      counts.onServerEnded();
     }
     if (failure == AttemptFailure.STALE_CONNECTION) {
       triedIncarnations.remove(progress.server().incarnation());
     }
-    if (failure.mayHaveRun()) {
-      provenNotRun = false;
-    }
-    if (failure.mayHaveRun() && failure != AttemptFailure.STALE_CONNECTION) {
-      countAsExecuted();
-    }
     endAttempt();
     if (failure.mayHaveRun() && !request.route().safeToRetry()) {
       refuse(ExchangeRefusals.answerLost(failure));
-    } else if (mayRetry(failure, now)) {
+    } else if (counts.tryRetryAfter(failure, now)) {
       dispatch();
     } else {
       refuseAfterFailure(failure, now);
     }
   }
 
-  private boolean mayRetry(AttemptFailure failure, long now) {
-    if (failure.unsent()) {
-      return true;
-    }
-    if (executedAttempts >= request.route().maxAttempts() || turnedAway > MAX_TURNED_AWAY) {
-      return false;
-    }
-    return shared.retryBudgets().apply(plan.service()).tryRetry(now);
+  private boolean mayHaveEndedServer() {
+    return shared.crashGuard().onLostWhileWaiting(progress.server(), request.caller().prompt());
   }
 
   /** Reserves a retry in place of forwarding a server error; returns whether one is allowed. */
   boolean tryAcquireRetry() {
     return request.route().safeToRetry()
         && !streamStarted
-        && executedAttempts < request.route().maxAttempts()
-        && shared.retryBudgets().apply(plan.service()).tryRetry(shared.ticker().read());
+        && counts.tryAnother(shared.ticker().read());
   }
 
   private void refuseAfterFailure(AttemptFailure failure, long now) {
     refuse(
-        provenNotRun
+        counts.provenNotRun()
             ? ExchangeRefusals.turnedAway(planner.retryDelay(true, now))
             : ExchangeRefusals.failed(failure));
   }
 
   private void refuse(Refusal refusal) {
-    Refusal adjusted = ExchangeRefusals.withProof(refusal, provenNotRun);
+    Refusal adjusted = ExchangeRefusals.withProof(refusal, counts.provenNotRun());
     end(adjusted.code().wireName() + ": " + adjusted.reason(), adjusted.code().httpStatus());
     if (streamStarted) {
       sink.abort();
@@ -426,9 +430,9 @@
     }
     if (attempt != null) {
       attempt.cancel();
-      provenNotRun = false;
+      counts.onAbandoned();
     }
-    refuse(ExchangeRefusals.deadlinePassed(provenNotRun));
+    refuse(ExchangeRefusals.deadlinePassed(counts.provenNotRun()));
   }
 
   /** Ends the exchange because the caller has disconnected. */
@@ -468,7 +472,12 @@
     deadlineTimer.cancel(false);
     log.ended(
         new ExchangeLog.Summary(
-            outcome, status, executedAttempts, turnedAway, firstEventNanos, eventsForwarded),
+            outcome,
+            status,
+            counts.executed(),
+            counts.turnedAway(),
+            firstEventNanos,
+            eventsForwarded),
         model,
         Optional.ofNullable(progress).map(AttemptProgress::server));
     endAttempt();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
@@ -32,6 +32,7 @@
     LoadTracker loads,
     ColdStartLimiter coldStartLimiter,
     ServerAvailability availability,
+    CrashGuard crashGuard,
     Function<String, RetryBudget> retryBudgets,
     ModelSelector models,
     RelayFormat format,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeRefusals.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeRefusals.java
@@ -25,6 +25,13 @@
         RefusalCode.OVERLOADED, "backend servers turned the request away", retryAfter);
   }
 
+  static Refusal promptHeld(Duration untilTest) {
+    return Refusal.notRun(
+        RefusalCode.PROMPT_QUARANTINED,
+        "backend servers have ended under requests with a part of this prompt",
+        untilTest);
+  }
+
   static Refusal answerLost(AttemptFailure failure) {
     return Refusal.of(
         RefusalCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, "the answer was lost: " + failure);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
@@ -55,7 +55,7 @@
       case UNREACHABLE, SILENT -> shared.loads().onUnreachable(server, now);
       case LATE -> reportLate(server, model, (now - attempt.sentNanos()) / NANOS_PER_MILLI);
       case NOT_EXECUTED -> shared.loads().onOutcome(server, false, now);
-      case STALE_CONNECTION, NO_CONNECTION, WITHDRAWN -> {
+      case STALE_CONNECTION, NO_CONNECTION, WITHDRAWN, QUARANTINED -> {
         // not a failure of the backend server
       }
       default -> reportFailure(server);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -28,6 +28,7 @@
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
+import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.internal.peers.WorkReport;
 import org.guavagw.gateway.internal.peers.WorkSummary;
 import org.guavagw.gateway.internal.placement.AffinityPlacer;
@@ -72,6 +73,7 @@
   private final Ticker ticker;
   private final LoadTracker loads = new LoadTracker();
   private final ServerAvailability availability;
+  private final CrashGuard crashGuard;
   private final BackendConnectionPool pool;
   private final ReachabilityChecker reachability;
   private final CallerServer callerServer;
@@ -117,6 +119,8 @@
             versions, coldStartLimiter, availability, placer, settings.dataCentre());
     Map<String, RetryBudget> retryBudgets = new HashMap<>();
     this.reachability = new ReachabilityChecker(pool::checkReachable);
+    this.crashGuard =
+        new CrashGuard(pool::checkReachable, () -> members.get().coordinatorRank(), ticker, log);
     ExchangeDependencies exchangeDependencies =
         new ExchangeDependencies(
             currentView,
@@ -127,6 +131,7 @@
             loads,
             coldStartLimiter,
             availability,
+            crashGuard,
             service -> retryBudgets.computeIfAbsent(service, s -> newRetryBudget(settings)),
             models,
             format,
@@ -153,8 +158,14 @@
     runEvery(CLEANUP_PERIOD, this::removeStaleState);
     reportWork(peers, hubSelector, lag);
     receiveWorkReports(peers, log, metrics);
+    serveGauges(metrics, lag, connections);
+  }
+
+  private void serveGauges(
+      GatewayMetrics metrics, EventLoopLag lag, Set<CallerConnection> connections) {
     metrics.gauge("event_loop_lag_ms", () -> lag.recent(ticker.read()).toMillis());
     metrics.gauge("requests_in_flight", inFlight::count);
+    metrics.gauge("prompt_parts_held", () -> crashGuard.quarantine().heldParts());
     metrics.gauge("caller_connections", connections::size);
   }
 
@@ -171,10 +182,20 @@
 
   private void reportWork(PeerMessenger peers, HubSelector hubSelector, EventLoopLag lag) {
     WorkReportSender sender =
-        new WorkReportSender(loads, members, hubSelector, availability::leavingToTell, peers::send);
+        new WorkReportSender(loads, members, hubSelector, this::noticesToTell, peers::send);
     runEvery(WorkReportSender.PERIOD, () -> tick(lag, sender));
   }
 
+  private ServerNotices noticesToTell(long nowNanos) {
+    return new ServerNotices(
+        availability.leavingToTell(nowNanos), crashGuard.quarantine().toTell(nowNanos));
+  }
+
+  private void onNotices(String entry, ServerNotices notices, long nowNanos) {
+    availability.onReport(entry, notices.leaving(), nowNanos);
+    crashGuard.quarantine().onNotices(notices.prompts(), nowNanos);
+  }
+
   private void tick(EventLoopLag lag, WorkReportSender sender) {
     long now = ticker.read();
     lag.tick(now);
@@ -185,7 +206,7 @@
   private void receiveWorkReports(PeerMessenger peers, EventLog log, GatewayMetrics metrics) {
     WorkReportReceiver receiver =
         new WorkReportReceiver(
-            loads, availability, this::maxBackendConnections, ticker, log, metrics);
+            loads, this::onNotices, this::maxBackendConnections, ticker, log, metrics);
     peers.onMessage(
         WorkReport.class, (from, message) -> receiver.onReport(from.memberId(), message));
     peers.onMessage(
@@ -237,6 +258,7 @@
     reachability.retain(incarnations);
     loads.retain(incarnations, ticker.read());
     availability.retain(incarnations, ticker.read());
+    crashGuard.retain(incarnations);
   }
 
   /** Returns the address that callers connect to. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
@@ -6,7 +6,7 @@
 
 /**
  * Checks the attempts of an exchange periodically and cancels those that are stalled if another
- * backend server can take over. Traffic thread only.
+ * backend server can take over, and those that are likely to end their server. Traffic thread only.
  */
 final class StalledAttemptMonitor {
   private final ExchangeDependencies shared;
@@ -35,6 +35,10 @@
       return false;
     }
     long now = shared.ticker().read();
+    if (exchange.endangersServer(now)) {
+      exchange.cancelAttempt(AttemptFailure.QUARANTINED);
+      return false;
+    }
     Optional<AttemptFailure> reason = cancellationReason(progress.get(), now);
     // If no retry is possible, the current attempt still has the best chance.
     if (reason.isPresent() && exchange.retryTarget(now).isPresent()) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
@@ -36,7 +36,12 @@
 
   @Test
   void shouldEncodeAndDecodeWorkReportsAndRejections() {
-    ServerWork work = new ServerWork(Map.of("w1", new ServerWork.Work(2, 3.5)), Set.of("w2"));
+    PromptNotices prompts =
+        new PromptNotices(
+            Set.of(new CrashSuspect("w3", "own", List.of("a", "b"))), Set.of("a"), Set.of("b"));
+    ServerWork work =
+        new ServerWork(
+            Map.of("w1", new ServerWork.Work(2, 3.5)), new ServerNotices(Set.of("w2"), prompts));
     WorkReport report = new WorkReport(work);
     DataCentreWork dataCentreWork = new DataCentreWork("dc1", work);
     WorkSummary summary = new WorkSummary(work);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
@@ -25,6 +25,8 @@
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
+import org.guavagw.gateway.internal.peers.PromptNotices;
+import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.internal.peers.WorkReport;
 import org.guavagw.gateway.internal.peers.WorkSummary;
 import org.guavagw.gateway.model.BackendServer;
@@ -124,7 +126,12 @@
         new ServerAvailability(new LeavingServers(), new ServerPauses(() -> 0), log);
     private final WorkReportReceiver receiver =
         new WorkReportReceiver(
-            loads, availability, () -> MAX_CONNECTIONS, clock, log, new GatewayMetrics());
+            loads,
+            (entry, notices, now) -> availability.onReport(entry, notices.leaving(), now),
+            () -> MAX_CONNECTIONS,
+            clock,
+            log,
+            new GatewayMetrics());
     private final Deque<Sample> samples = new ArrayDeque<>();
     private int requests;
     private int step;
@@ -134,7 +141,12 @@
       Members known = new Members(name, members);
       this.hubs = new HubSelector(() -> known, 4, clock);
       this.sender =
-          new WorkReportSender(loads, () -> known, hubs, availability::leavingToTell, this::send);
+          new WorkReportSender(
+              loads,
+              () -> known,
+              hubs,
+              now -> new ServerNotices(availability.leavingToTell(now), PromptNotices.NONE),
+              this::send);
     }
 
     private void send(String to, PeerMessage message) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
@@ -22,6 +22,8 @@
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
+import org.guavagw.gateway.internal.peers.PromptNotices;
+import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.internal.peers.ServerWork;
 import org.guavagw.gateway.internal.peers.ServerWork.Work;
 import org.guavagw.gateway.internal.peers.WorkReport;
@@ -180,7 +182,8 @@
   }
 
   private static ServerWork work(int running, double waitingMillis) {
-    return new ServerWork(Map.of(SERVER.incarnation(), new Work(running, waitingMillis)), Set.of());
+    return new ServerWork(
+        Map.of(SERVER.incarnation(), new Work(running, waitingMillis)), ServerNotices.NONE);
   }
 
   private void start(int count) {
@@ -211,7 +214,12 @@
         new ServerAvailability(new LeavingServers(), new ServerPauses(() -> 0), log);
     private final WorkReportReceiver receiver =
         new WorkReportReceiver(
-            loads, availability, () -> MAX_CONNECTIONS, clock, log, new GatewayMetrics());
+            loads,
+            (entry, notices, now) -> availability.onReport(entry, notices.leaving(), now),
+            () -> MAX_CONNECTIONS,
+            clock,
+            log,
+            new GatewayMetrics());
     private final HubSelector hubs;
     private final WorkReportSender sender;
 
@@ -224,7 +232,7 @@
               loads,
               () -> members,
               hubs,
-              availability::leavingToTell,
+              now -> new ServerNotices(availability.leavingToTell(now), PromptNotices.NONE),
               (to, report) -> {
                 messages++;
                 entries.stream()
