Log the request limits that backend servers state

An answer that says it comes from another server (421) says nothing of this one. No decision changes.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerAvailability.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerAvailability.java
@@ -3,7 +3,10 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.model.BackendServer;
@@ -16,9 +19,13 @@
 public final class ServerAvailability {
   private static final int SERVICE_UNAVAILABLE = 503;
 
+  /** Comes from another backend server than the one that the request was meant for. */
+  private static final int MISDIRECTED_REQUEST = 421;
+
   private final LeavingServers leaving;
   private final ServerPauses pauses;
   private final EventLog log;
+  private final Map<String, OptionalDouble> limits = new HashMap<>();
 
   /** Combines both policies. */
   public ServerAvailability(LeavingServers leaving, ServerPauses pauses, EventLog log) {
@@ -39,6 +46,20 @@
     } else if (!answer.notExecuted()) {
       pauses.onExecuted(incarnation, nowNanos);
     }
+    if (answer.status() != MISDIRECTED_REQUEST) {
+      noteLimit(server, answer.requestsPerSecond());
+      answer.unreadableRequestsPerSecond().ifPresent(text -> logUnreadableLimit(server, text));
+    }
+  }
+
+  private void noteLimit(BackendServer server, OptionalDouble perSecond) {
+    OptionalDouble before = limits.getOrDefault(server.incarnation(), OptionalDouble.empty());
+    if (before.equals(perSecond)) {
+      return;
+    }
+    limits.put(server.incarnation(), perSecond);
+    String stated = perSecond.isPresent() ? Double.toString(perSecond.getAsDouble()) : "none";
+    log.event("backend_limit").with("backend", server.id()).with("per_second", stated).write();
   }
 
   private void pause(BackendServer server, Duration delay, long nowNanos) {
@@ -58,6 +79,14 @@
         .write();
   }
 
+  private void logUnreadableLimit(BackendServer server, String text) {
+    log.event("request_limit_ignored")
+        .with("backend", server.id())
+        .with("value", text)
+        .with("reason", "not a number of requests per second")
+        .write();
+  }
+
   /** Takes note of the leaving incarnations that another entry reports. */
   public void onReport(String entry, Collection<String> incarnations, long nowNanos) {
     for (String incarnation : incarnations) {
@@ -103,6 +132,7 @@
   /** Removes the state of backend servers that are gone. */
   public void retain(Set<String> incarnations, long nowNanos) {
     pauses.retain(incarnations);
+    limits.keySet().retainAll(incarnations);
     leaving.expire(nowNanos);
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/AnswerHead.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/spi/AnswerHead.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 
 /**
@@ -16,6 +17,9 @@
  * @param leaving whether the backend server says that it is about to stop
  * @param retryAfter time for which the backend server wants no further request from this entry
  * @param unreadableRetryAfter such a time that cannot be read, as it was received
+ * @param requestsPerSecond rate of requests of all entries together that the backend server takes,
+ *     for as long as its answers state it
+ * @param unreadableRequestsPerSecond such a rate that cannot be read, as it was received
  */
 public record AnswerHead(
     int status,
@@ -27,7 +31,9 @@
     OptionalInt keepAliveSeconds,
     boolean leaving,
     Optional<Duration> retryAfter,
-    Optional<String> unreadableRetryAfter) {
+    Optional<String> unreadableRetryAfter,
+    OptionalDouble requestsPerSecond,
+    Optional<String> unreadableRequestsPerSecond) {
 
   /** Returns whether the status is in the 2xx range. */
   public boolean success() {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/Samples.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/Samples.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.guavagw.gateway.model.BackendServer;
@@ -83,15 +84,24 @@
 
   /** Returns a successful answer of a backend server that is leaving. */
   public static AnswerHead leavingAnswer() {
-    return answer(200, true, Optional.empty());
+    return answer(200, true, Optional.empty(), OptionalDouble.empty());
   }
 
   /** Returns an answer of a backend server that turned a request away and wants a pause. */
   public static AnswerHead pauseAnswer(Duration pause) {
-    return answer(503, false, Optional.of(pause));
+    return answer(503, false, Optional.of(pause), OptionalDouble.empty());
   }
 
-  private static AnswerHead answer(int status, boolean leaving, Optional<Duration> retryAfter) {
+  /** Returns a successful answer of a backend server that limits the rate of requests, or not. */
+  public static AnswerHead limitAnswer(OptionalDouble requestsPerSecond) {
+    return answer(200, false, Optional.empty(), requestsPerSecond);
+  }
+
+  private static AnswerHead answer(
+      int status,
+      boolean leaving,
+      Optional<Duration> retryAfter,
+      OptionalDouble requestsPerSecond) {
     return new AnswerHead(
         status,
         "r",
@@ -102,6 +112,8 @@
         OptionalInt.empty(),
         leaving,
         retryAfter,
+        Optional.empty(),
+        requestsPerSecond,
         Optional.empty());
   }
 
