Count the time of an answer as evidence of its version when it begins

Cause: the time until the first event was recorded when the answer had ended. The answers of a slow version end late, and those that a deadline, a caller or the policy for stalled attempts ends before never counted.

Change: the time is recorded at the first event, or as soon as the attempt is found to be slow while it still waits, once for each attempt.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
@@ -22,6 +22,7 @@
   private long lastReceivedNanos;
   private boolean answerStarted;
   private boolean hasEvents;
+  private boolean timed;
   private boolean countedAsExecuted;
   private boolean prefillFinished;
 
@@ -81,6 +82,13 @@
     return hasEvents;
   }
 
+  /** Marks that its time is reported; returns whether it was not before. */
+  boolean markTimed() {
+    boolean isNew = !timed;
+    timed = true;
+    return isNew;
+  }
+
   /** Records an event of the stream; the time to the first one updates the prefill estimate. */
   void onEvent(boolean isFirst) {
     hasEvents = true;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -245,11 +245,8 @@
     }
     boolean success = answer.status() < 500;
     if (success) {
-      shared
-          .crashGuard()
-          .quarantine()
-          .onAnswered(request.caller().prompt(), shared.ticker().read());
-      reportSuccess();
+      onAnswerBegun(shared.ticker().read());
+      outcomes.reportSuccess(progress.server());
     } else {
       outcomes.reportFailure(progress.server());
     }
@@ -267,7 +264,7 @@
     long now = shared.ticker().read();
     progress.onReceived(now);
     if (!progress.hasEvents()) {
-      shared.crashGuard().quarantine().onAnswered(request.caller().prompt(), now);
+      onAnswerBegun(now);
     }
     progress.onEvent(lastEventId.isEmpty());
     if (!streamStarted) {
@@ -289,6 +286,18 @@
     }
   }
 
+  private void onAnswerBegun(long now) {
+    shared.crashGuard().quarantine().onAnswered(request.caller().prompt(), now);
+    outcomes.reportBegin(progress, model, now);
+  }
+
+  /** Reports the current attempt if its answer has not begun and is slow by now. */
+  void reportIfSlow(long now) {
+    if (!progress.hasEvents()) {
+      outcomes.reportIfSlow(progress, model, now);
+    }
+  }
+
   private void startAnswerOnce(HttpResponse head) {
     if (!streamStarted) {
       streamStarted = true;
@@ -348,7 +357,7 @@
   /** Ends a stream. The head starts the answer to the caller if no event was forwarded. */
   void finishStream(HttpResponse head) {
     startAnswerOnce(head);
-    reportSuccess();
+    outcomes.reportSuccess(progress.server());
     end("streamed", 200);
     sink.finish();
     onDone.run();
@@ -447,13 +456,6 @@
     onDone.run();
   }
 
-  private void reportSuccess() {
-    long now = shared.ticker().read();
-    long until = firstEventNanos > 0 ? firstEventNanos : now;
-    outcomes.reportSuccess(
-        progress.server(), model, (until - progress.sentNanos()) / (double) NANOS_PER_MILLI);
-  }
-
   private void endAttempt() {
     if (progress != null) {
       progress.onEnd();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
@@ -21,30 +21,38 @@
     this.plan = plan;
   }
 
-  /**
-   * Reports a successful answer.
-   *
-   * @param millis time until the answer or its first event
-   */
-  void reportSuccess(BackendServer server, Optional<String> model, double millis) {
+  /** Reports a successful answer. */
+  void reportSuccess(BackendServer server) {
     long now = shared.ticker().read();
     shared.loads().onOutcome(server, true, now);
     shared.versions().onServed(plan.session(), server.version(), now);
-    shared
-        .rollouts()
-        .onSuccess(plan.service(), server.version(), route.name(), workloadName(model), millis);
+    shared.rollouts().onSuccess(plan.service(), server.version(), route.name());
   }
 
-  /**
-   * Reports an attempt that was cancelled as late. It counts as slow, but not as a failure of its
-   * version.
-   *
-   * @param millis time for which the attempt waited for its answer to begin
-   */
-  private void reportLate(BackendServer server, Optional<String> model, double millis) {
-    shared
-        .rollouts()
-        .onSuccess(plan.service(), server.version(), route.name(), workloadName(model), millis);
+  /** Reports that the answer to an attempt begins now. */
+  void reportBegin(AttemptProgress attempt, Optional<String> model, long now) {
+    reportTiming(attempt, model, millisSince(attempt, now));
+  }
+
+  /** Reports an attempt whose answer has not begun if it is slow by now. */
+  void reportIfSlow(AttemptProgress attempt, Optional<String> model, long now) {
+    double millis = millisSince(attempt, now);
+    if (shared.rollouts().isSlow(plan.service(), workloadName(model), millis)) {
+      reportTiming(attempt, model, millis);
+    }
+  }
+
+  private void reportTiming(AttemptProgress attempt, Optional<String> model, double millis) {
+    if (attempt.markTimed()) {
+      BackendServer server = attempt.server();
+      shared
+          .rollouts()
+          .onTiming(plan.service(), server.version(), route.name(), workloadName(model), millis);
+    }
+  }
+
+  private static double millisSince(AttemptProgress attempt, long now) {
+    return (now - attempt.sentNanos()) / NANOS_PER_MILLI;
   }
 
   /** Reports an attempt that ended without a usable answer. */
@@ -53,7 +61,7 @@
     BackendServer server = attempt.server();
     switch (failure) {
       case UNREACHABLE, SILENT -> shared.loads().onUnreachable(server, now);
-      case LATE -> reportLate(server, model, (now - attempt.sentNanos()) / NANOS_PER_MILLI);
+      case LATE -> reportTiming(attempt, model, millisSince(attempt, now));
       case NOT_EXECUTED -> shared.loads().onOutcome(server, false, now);
       case STALE_CONNECTION, NO_CONNECTION, WITHDRAWN, QUARANTINED -> {
         // not a failure of the backend server
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
@@ -6,7 +6,8 @@
 
 /**
  * Checks the attempts of an exchange periodically and cancels those that are stalled if another
- * backend server can take over, and those that are likely to end their server. Traffic thread only.
+ * backend server can take over, and those that are likely to end their server. Reports those that
+ * are slow while they still wait. Traffic thread only.
  */
 final class StalledAttemptMonitor {
   private final ExchangeDependencies shared;
@@ -39,6 +40,7 @@
       exchange.cancelAttempt(AttemptFailure.QUARANTINED);
       return false;
     }
+    exchange.reportIfSlow(now);
     Optional<AttemptFailure> reason = cancellationReason(progress.get(), now);
     // If no retry is possible, the current attempt still has the best chance.
     if (reason.isPresent() && exchange.retryTarget(now).isPresent()) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
@@ -102,12 +102,22 @@
   }
 
   /** Records a successful answer of a backend server. */
-  public void onSuccess(
+  public void onSuccess(String service, String version, String route) {
+    activeRollout(service)
+        .ifPresent(r -> r.evidence.onSuccess(route, version.equals(r.order.toVersion())));
+  }
+
+  /** Records the time until an answer began, or until {@link #isSlow} was found. */
+  public void onTiming(
       String service, String version, String route, String workKind, double millis) {
     activeRollout(service)
         .ifPresent(
-            r ->
-                r.evidence.onSuccess(route, workKind, millis, version.equals(r.order.toVersion())));
+            r -> r.evidence.onTiming(route, workKind, millis, version.equals(r.order.toVersion())));
+  }
+
+  /** Returns whether an answer that has not begun after this time is slow for a rollout. */
+  public boolean isSlow(String service, String workKind, double millis) {
+    return activeRollout(service).filter(r -> r.evidence.isSlow(workKind, millis)).isPresent();
   }
 
   /** Records a failure of a backend server. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/VersionEvidence.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/VersionEvidence.java
@@ -52,11 +52,23 @@
     badAnswerSeen |= onNew;
   }
 
-  void onSuccess(String route, String workKind, double millis, boolean onNew) {
+  void onSuccess(String route, boolean onNew) {
     addLocal(route, RouteTally.NONE.plusAnswer(onNew, false));
+  }
+
+  /** Returns whether an answer that has not begun after this time counts as slow. */
+  boolean isSlow(String workKind, double millis) {
     Double usual = usualMillisByWorkKind.get(workKind);
-    if (usual != null) {
-      boolean slow = millis > MIN_SLOW_MILLIS && millis > SLOW_FACTOR * usual;
+    return usual != null && millis > MIN_SLOW_MILLIS && millis > SLOW_FACTOR * usual;
+  }
+
+  /**
+   * Records the time until an answer began, or until it was found to be slow. Answers that end are
+   * no substitute: those of a slow version end late, or are given up before.
+   */
+  void onTiming(String route, String workKind, double millis, boolean onNew) {
+    if (usualMillisByWorkKind.containsKey(workKind)) {
+      boolean slow = isSlow(workKind, millis);
       addLocal(route, RouteTally.NONE.plusTiming(onNew, slow));
       badAnswerSeen |= onNew && slow;
     }
