Take blank lines without end in a stream for what they are

A test of endless bytes: a backend server that sends blank lines without end after the head of a stream. Each counted as an event, so the caller got them for as long as it stayed, and no other server was asked. Lines that end nowhere were bounded at 1 MiB, but each added byte copied and searched all before it.

EventSplitter now counts a blank line as the end of an event only if the event has a field; lines without one belong to what follows, so they run into the same bound. It looks at each byte once and keeps one buffer.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EventSplitter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EventSplitter.java
@@ -11,70 +11,98 @@
 /**
  * Splits a stream of server-sent events into complete events.
  *
- * <p>Invariants: bytes are returned unchanged and in order; a partial event is never returned. Not
- * thread-safe; must be released after use.
+ * <p>Invariants: bytes are returned unchanged and in order; a partial event is never returned;
+ * lines without a field, such as comments, belong to the event that follows; the work for a byte
+ * does not depend on how many are buffered. Not thread-safe; must be released after use.
  */
 final class EventSplitter {
   /** Backend servers send no events larger than this. */
   private static final int MAX_EVENT_BYTES = 1 << 20;
 
+  private static final int INITIAL_BYTES = 1024;
   private static final Splitter LINES = Splitter.on('\n');
   private static final byte LINE_FEED = '\n';
   private static final byte CARRIAGE_RETURN = '\r';
+  private static final byte COMMENT = ':';
   private static final String ID_FIELD = "id:";
 
-  private ByteBuf partial = Unpooled.EMPTY_BUFFER;
+  private final ByteBuf buffered = Unpooled.buffer(INITIAL_BYTES);
+
+  /** Index of the first line of the partial event that was not looked at yet. */
+  private int lineStart;
+
+  /** Index up to which that line is known to have no end. */
+  private int searched;
+
+  private boolean hasField;
 
   /** Adds bytes and returns the events that they complete; the caller must release these. */
   List<Event> add(ByteBuf content) {
-    ByteBuf buffered = Unpooled.buffer(partial.readableBytes() + content.readableBytes());
-    buffered
-        .writeBytes(partial)
-        .writeBytes(content, content.readerIndex(), content.readableBytes());
-    partial.release();
+    buffered.writeBytes(content, content.readerIndex(), content.readableBytes());
     List<Event> events = new ArrayList<>();
-    int start = buffered.readerIndex();
-    for (int end = endOfEvent(buffered, start); end > 0; end = endOfEvent(buffered, start)) {
-      ByteBuf event = buffered.copy(start, end - start);
-      events.add(new Event(event, idOf(event)));
-      start = end;
+    for (int end = nextLineEnd(); end >= 0; end = nextLineEnd()) {
+      boolean blank = isBlank(end);
+      hasField |= !blank && buffered.getByte(lineStart) != COMMENT;
+      lineStart = end + 1;
+      searched = lineStart;
+      if (blank && hasField) {
+        events.add(take(lineStart));
+      }
     }
-    partial = buffered.copy(start, buffered.writerIndex() - start);
-    buffered.release();
+    discardTaken();
     return events;
   }
 
-  /** Returns whether a partial event is buffered. */
+  /** Returns the index of the line feed that ends the next line; -1 if it is incomplete. */
+  private int nextLineEnd() {
+    int lineFeed = buffered.indexOf(searched, buffered.writerIndex(), LINE_FEED);
+    if (lineFeed < 0) {
+      searched = buffered.writerIndex();
+    }
+    return lineFeed;
+  }
+
+  private boolean isBlank(int end) {
+    int length = end - lineStart;
+    return length == 0 || (length == 1 && buffered.getByte(lineStart) == CARRIAGE_RETURN);
+  }
+
+  private Event take(int end) {
+    ByteBuf bytes = buffered.readBytes(end - buffered.readerIndex());
+    hasField = false;
+    return new Event(bytes, idOf(bytes));
+  }
+
+  private void discardTaken() {
+    int taken = buffered.readerIndex();
+    if (taken > 0) {
+      buffered.discardReadBytes();
+      lineStart -= taken;
+      searched -= taken;
+    }
+  }
+
+  /** Returns whether a partial event is buffered; lines without a field alone are none. */
   boolean hasPartialEvent() {
-    return partial.isReadable();
+    boolean inLine = lineStart < buffered.writerIndex();
+    return hasField || inLine;
+  }
+
+  /** Returns the buffered lines without a field; the caller must release them. */
+  ByteBuf takeRest() {
+    ByteBuf rest = buffered.readBytes(buffered.readableBytes());
+    lineStart = buffered.readerIndex();
+    searched = lineStart;
+    return rest;
   }
 
   /** Returns whether the partial event exceeds the size limit. */
   boolean overflowed() {
-    return partial.readableBytes() > MAX_EVENT_BYTES;
+    return buffered.readableBytes() > MAX_EVENT_BYTES;
   }
 
   void release() {
-    partial.release();
-    partial = Unpooled.EMPTY_BUFFER;
-  }
-
-  /** Returns the index after the blank line that ends the event, or -1 if it is incomplete. */
-  private static int endOfEvent(ByteBuf buffered, int start) {
-    int lineStart = start;
-    while (true) {
-      int lineFeed = buffered.indexOf(lineStart, buffered.writerIndex(), LINE_FEED);
-      if (lineFeed < 0) {
-        return -1;
-      }
-      int length = lineFeed - lineStart;
-      boolean blank =
-          length == 0 || (length == 1 && buffered.getByte(lineStart) == CARRIAGE_RETURN);
-      if (blank) {
-        return lineFeed + 1;
-      }
-      lineStart = lineFeed + 1;
-    }
+    buffered.release();
   }
 
   private static OptionalLong idOf(ByteBuf event) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -354,9 +354,13 @@
     return eventsForwarded;
   }
 
-  /** Ends a stream. The head starts the answer to the caller if no event was forwarded. */
-  void finishStream(HttpResponse head) {
+  /**
+   * Ends a stream. The head starts the answer to the caller if no event was forwarded. Takes
+   * ownership of the bytes after the last event.
+   */
+  void finishStream(HttpResponse head, ByteBuf rest) {
     startAnswerOnce(head);
+    var unused = sink.write(rest);
     outcomes.reportSuccess(progress.server());
     end("streamed", 200);
     sink.finish();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
@@ -75,7 +75,7 @@
     } else if (splitter.hasPartialEvent() || nothingForwarded()) {
       exchange.onAttemptFailed(AttemptFailure.BROKEN);
     } else {
-      exchange.finishStream(head);
+      exchange.finishStream(head, splitter.takeRest());
     }
   }
 
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EventSplitterTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EventSplitterTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -10,6 +11,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class EventSplitterTest {
   private static final String STREAM =
@@ -34,6 +36,36 @@
     assertThat(splitter.hasPartialEvent()).isFalse();
   }
 
+  @Test
+  void shouldReturnLinesWithoutAFieldWithTheEventThatFollows() {
+    EventSplitter splitter = new EventSplitter();
+    assertThat(add(splitter, "\n\n: comment\n\n")).isEmpty();
+    assertThat(splitter.hasPartialEvent()).isFalse();
+    assertThat(add(splitter, "id: 1\n\n")).containsExactly("\n\n: comment\n\nid: 1\n\n");
+    assertThat(add(splitter, ": end\n\n")).isEmpty();
+    assertThat(splitter.takeRest().toString(StandardCharsets.UTF_8)).isEqualTo(": end\n\n");
+  }
+
+  @Test
+  void shouldOverflowOnBlankLinesWithoutEnd() {
+    EventSplitter splitter = new EventSplitter();
+    for (int i = 0; i <= 1 << 10; i++) {
+      assertThat(add(splitter, "\n".repeat(1 << 10))).isEmpty();
+    }
+    assertThat(splitter.overflowed()).isTrue();
+  }
+
+  @Test
+  @Timeout(5)
+  void shouldTakeAsLongForTheLastByteOfALargeEventAsForTheFirst() {
+    EventSplitter splitter = new EventSplitter();
+    ByteBuf oneByte = Unpooled.copiedBuffer("x", StandardCharsets.UTF_8);
+    for (int i = 0; i < 1 << 20; i++) {
+      assertThat(splitter.add(oneByte)).isEmpty();
+    }
+    assertThat(splitter.hasPartialEvent()).isTrue();
+  }
+
   @Test
   void shouldParseEventIds() {
     EventSplitter splitter = new EventSplitter();
