Give a buffered answer without end up while another server can still answer

A test of endless bytes: a backend server that sends small chunks without end. The answer stays below the size at which it fails, bytes keep coming, so nothing ends the attempt but the deadline, and the caller gets 504.

StalledAttemptPolicy now gives an attempt up whose buffered answer has begun, is not complete, and has taken as much time as is left to the deadline, if a retry is allowed. Streams are not concerned; slow answers that nobody could replace are kept as before.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
@@ -111,12 +111,14 @@
     loads.onEnded(server);
   }
 
-  StalledAttemptPolicy.Observation observe(long nowNanos) {
+  StalledAttemptPolicy.Observation observe(long nowNanos, long deadlineNanos) {
     return new StalledAttemptPolicy.Observation(
         answerStarted,
         Duration.ofNanos(nowNanos - lastReceivedNanos),
         loads.timeSinceLastReceived(server, nowNanos),
         loads.hasAnsweredLaterAttempt(server, sentNanos),
-        estimate);
+        estimate,
+        Duration.ofNanos(nowNanos - sentNanos),
+        Duration.ofNanos(deadlineNanos - nowNanos));
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -112,6 +112,11 @@
     startAttempt(view, chosen.get(), now);
   }
 
+  /** Returns the monotonic time by which the caller must have its answer. */
+  long deadlineNanos() {
+    return plan.deadlineNanos();
+  }
+
   /** Returns whether the deadline has passed; its timer may not have run yet. */
   private boolean isOver(long now) {
     return plan.deadlineNanos() - now <= 0;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
@@ -51,7 +51,7 @@
   }
 
   private Optional<AttemptFailure> cancellationReason(AttemptProgress progress, long now) {
-    StalledAttemptPolicy.Observation observation = progress.observe(now);
+    StalledAttemptPolicy.Observation observation = progress.observe(now, exchange.deadlineNanos());
     return switch (StalledAttemptPolicy.evaluate(
         request.route(), request.caller().promptTokens(), observation)) {
       case WAIT -> Optional.empty();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicy.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicy.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.guavagw.gateway.internal.placement.WorkReportSender;
 import org.guavagw.gateway.model.Route;
+import org.guavagw.gateway.model.RouteKind;
 
 /**
  * Decides what to do about an attempt from which nothing is received.
@@ -12,7 +13,8 @@
  * server: a silent server is first checked by opening a connection, and a request counts as stuck
  * sooner if later ones overtook it. Also handles long prompts of other entries that delay the
  * requests queued behind them: a request that waits for longer than its known queue explains may
- * move to a faster backend server. Stateless.
+ * move to a faster backend server. An answer that is buffered and goes on without end is given up
+ * while another server has as much time as this one had. Stateless.
  */
 final class StalledAttemptPolicy {
   /**
@@ -78,6 +80,11 @@
         && observation.silence().compareTo(lateLimit(route, observation)) > 0) {
       return Verdict.LATE;
     }
+    if (route.kind() != RouteKind.STREAM
+        && observation.answerStarted()
+        && observation.sinceSent().compareTo(observation.remaining()) > 0) {
+      return Verdict.STUCK;
+    }
     Duration shorterSilence =
         observation.silence().compareTo(observation.serverSilence()) < 0
             ? observation.silence()
@@ -108,11 +115,15 @@
    * @param serverSilence time since the backend server last sent this entry any data
    * @param overtaken whether the backend server has begun to answer requests that were sent later
    * @param estimate time until its answer begins, as estimated when it was sent
+   * @param sinceSent time since the attempt was sent
+   * @param remaining time until the caller's deadline
    */
   record Observation(
       boolean answerStarted,
       Duration silence,
       Duration serverSilence,
       boolean overtaken,
-      Duration estimate) {}
+      Duration estimate,
+      Duration sinceSent,
+      Duration remaining) {}
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/LateAttemptLoadTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/LateAttemptLoadTest.java
@@ -89,7 +89,13 @@
       waited = waited.plus(StalledAttemptPolicy.CHECK_PERIOD);
       Observation observation =
           new Observation(
-              false, waited, Duration.ZERO, false, Duration.ofMillis(Math.round(estimate)));
+              false,
+              waited,
+              Duration.ZERO,
+              false,
+              Duration.ofMillis(Math.round(estimate)),
+              waited,
+              route.timeout().minus(waited));
       verdict = StalledAttemptPolicy.evaluate(route, 0, observation);
     }
     return now + waited.toMillis();
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicyTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicyTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import org.guavagw.gateway.internal.Samples;
 import org.guavagw.gateway.internal.relay.StalledAttemptPolicy.Observation;
+import org.guavagw.gateway.internal.relay.StalledAttemptPolicy.Verdict;
 import org.guavagw.gateway.model.Route;
 import org.guavagw.gateway.model.RouteKind;
 import org.junit.jupiter.api.Test;
@@ -60,7 +61,8 @@
   void shouldCountARequestAsLateThatWaitsLongerThanItsQueueExplains() {
     Duration silence = Duration.ofMillis(800);
     Duration estimate = Duration.ofMillis(30);
-    Observation observation = new Observation(false, silence, SHORT, false, estimate);
+    Observation observation =
+        new Observation(false, silence, SHORT, false, estimate, silence, LONG);
     assertThat(StalledAttemptPolicy.evaluate(stream, 0, observation)).isEqualTo(LATE);
   }
 
@@ -68,13 +70,29 @@
   void shouldWaitIfTheQueueExplainsTheTime() {
     Duration silence = Duration.ofMillis(800);
     Duration estimate = Duration.ofMillis(400);
-    Observation observation = new Observation(false, silence, SHORT, false, estimate);
+    Observation observation =
+        new Observation(false, silence, SHORT, false, estimate, silence, LONG);
     assertThat(StalledAttemptPolicy.evaluate(stream, 0, observation)).isEqualTo(WAIT);
   }
 
+  @Test
+  void shouldGiveUpABufferedAnswerWithoutEndWhileAnotherServerHasAsMuchTime() {
+    Route buffered = Samples.route(RouteKind.IDEMPOTENT, List.of(), 2);
+    Duration half = Duration.ofSeconds(2);
+    assertThat(evaluate(buffered, half.minusMillis(1), half)).isEqualTo(WAIT);
+    assertThat(evaluate(buffered, half.plusMillis(1), half)).isEqualTo(STUCK);
+    assertThat(evaluate(stream, half.plusMillis(1), half)).isEqualTo(WAIT);
+  }
+
+  private static Verdict evaluate(Route route, Duration sinceSent, Duration remaining) {
+    Observation observation =
+        new Observation(true, SHORT, SHORT, false, LONG, sinceSent, remaining);
+    return StalledAttemptPolicy.evaluate(route, 0, observation);
+  }
+
   /** Returns an observation of an attempt with a long estimate. */
   private static Observation observation(
       boolean answerStarted, Duration silence, Duration serverSilence, boolean overtaken) {
-    return new Observation(answerStarted, silence, serverSilence, overtaken, LONG);
+    return new Observation(answerStarted, silence, serverSilence, overtaken, LONG, silence, LONG);
   }
 }
