Count every attempt that was written and lost

Cause: a reused connection that ended within 30 ms of the write was taken for one that the backend server had dropped before; such an attempt did not count, though the server had received it.

The end of a connection doesn't tell whether a request ran. AttemptCounts now counts each attempt that was written and not provably turned away. To serve callers whose idle connection really was closed before, the same server may be tried again, its other idle connections are closed first, and routes that allow one attempt use new connections, as those that may run once do.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptCounts.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptCounts.java
@@ -6,12 +6,14 @@
  * Counts the attempts of one request by what became of them and decides whether there may be
  * another. Traffic thread only.
  *
- * <p>Invariant: a request is proven not to have run only while no attempt may have been executed.
+ * <p>Invariants: a request is proven not to have run only while no attempt may have been executed;
+ * every attempt counts that was written to a connection and not provably turned away, as the end of
+ * a connection does not tell whether the request ran.
  */
 final class AttemptCounts {
   /**
-   * Attempts that may be turned away without being executed, or fail on a stale connection, and
-   * still be retried; these do not count towards the maximum attempts of the route.
+   * Attempts that may be turned away without being executed and still be retried; these do not
+   * count towards the maximum attempts of the route.
    */
   private static final int MAX_TURNED_AWAY = 3;
 
@@ -43,7 +45,7 @@
     return executed;
   }
 
-  /** Returns the attempts that were turned away, or failed on a stale connection. */
+  /** Returns the attempts that were turned away without being executed. */
   int turnedAway() {
     return turnedAway;
   }
@@ -72,9 +74,6 @@
       turnedAway++;
     }
     if (failure.mayHaveRun()) {
-      provenNotRun = false;
-    }
-    if (failure.mayHaveRun() && failure != AttemptFailure.STALE_CONNECTION) {
       onMayHaveRun(attempt);
     }
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
@@ -11,8 +11,8 @@
   /** The backend server reports that it did not execute the request. */
   NOT_EXECUTED(false),
   /**
-   * A reused connection was closed at once, presumably because the backend server had already
-   * dropped it.
+   * A reused connection was closed shortly after the request was written. The backend server may
+   * have dropped the connection before, or have ended while it executed the request.
    */
   STALE_CONNECTION(true),
   /** The connection ended before the answer was complete. */
@@ -53,6 +53,6 @@
 
   /** Returns whether the attempt does not count towards the maximum attempts of the route. */
   boolean turnedAway() {
-    return this == NOT_EXECUTED || this == STALE_CONNECTION;
+    return this == NOT_EXECUTED;
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
@@ -158,6 +158,14 @@
         .connect(server.address());
   }
 
+  /** Closes the idle connections to a backend server that has dropped one of them. */
+  void closeIdle(BackendServer server) {
+    ServerConnections connections = connectionsByIncarnation.get(server.incarnation());
+    if (connections != null) {
+      connections.closeIdle();
+    }
+  }
+
   /** Closes idle connections to incarnations that no longer exist. */
   void retain(Set<String> incarnations) {
     List<String> removed = new ArrayList<>();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -226,7 +226,7 @@
         shared.format().attemptHeaders(request.head(), head),
         request.body(),
         request.chunked(),
-        !request.route().safeToRetry(),
+        !request.route().safeToRetry() || request.route().maxAttempts() == 1,
         () -> isStillWanted(chosen));
   }
 
@@ -402,6 +402,7 @@
     }
     if (failure == AttemptFailure.STALE_CONNECTION) {
       triedIncarnations.remove(progress.server().incarnation());
+      shared.pool().closeIdle(progress.server());
     }
     endAttempt();
     if (failure.mayHaveRun() && !request.route().safeToRetry()) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
@@ -101,8 +101,7 @@
    * How an exchange ended. Immutable.
    *
    * @param executed attempts that may have been executed
-   * @param turnedAway attempts that backend servers turned away without executing them, or that
-   *     failed on a stale connection
+   * @param turnedAway attempts that backend servers turned away without executing them
    * @param firstEventNanos time at which the first event was forwarded; 0 if none was
    */
   record Summary(
