--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionEvidenceTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionEvidenceTest.java
@@ -38,10 +38,10 @@
   void shouldDetectASlowVersion() {
     VersionEvidence evidence = new VersionEvidence();
     for (int i = 0; i < 60; i++) {
-      evidence.onTiming("r", "r/m", 200, false);
+      succeed(evidence, 200, false);
     }
     for (int i = 0; i < 12; i++) {
-      evidence.onTiming("r", "r/m", 1600, true);
+      succeed(evidence, 1600, true);
     }
     assertThat(evidence.isNewVersionWorse()).isTrue();
   }
@@ -52,7 +52,7 @@
     for (int entry = 0; entry < 6; entry++) {
       VersionEvidence remote = new VersionEvidence();
       for (int i = 0; i < 10; i++) {
-        remote.onSuccess("r", false);
+        succeed(remote, 100, false);
       }
       remote.onFailure("r", true);
       remote.onFailure("r", true);
@@ -95,7 +95,12 @@
     if (failed) {
       evidence.onFailure("r", onNew);
     } else {
-      evidence.onSuccess("r", onNew);
+      succeed(evidence, 100, onNew);
     }
   }
+
+  private static void succeed(VersionEvidence evidence, double millis, boolean onNew) {
+    evidence.onTiming("r", "r/m", millis, onNew);
+    evidence.onSuccess("r", onNew);
+  }
 }
