--- /dev/null
+++ b/review/standins/Store.java
@@ -0,0 +1,162 @@
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** A stand-in for the platform's store with its rows, feed and conditional transactions. */
+final class Store implements AutoCloseable {
+  private record Row(String value, long ver, boolean removed) {}
+
+  private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
+  private final ExecutorService threads =
+      Executors.newCachedThreadPool(
+          r -> {
+            Thread t = new Thread(r);
+            t.setDaemon(true);
+            return t;
+          });
+  private final HttpServer server;
+  private long version = 1;
+
+  Store() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/", this::handle);
+    server.start();
+  }
+
+  int port() {
+    return server.getAddress().getPort();
+  }
+
+  synchronized void put(String table, String key, String json) {
+    version++;
+    set(table, key, Base64.getEncoder().encodeToString(json.getBytes(StandardCharsets.UTF_8)));
+    notifyAll();
+  }
+
+  synchronized void remove(String table, String key) {
+    version++;
+    rows(table).put(key, new Row("", version, true));
+    notifyAll();
+  }
+
+  private TreeMap<String, Row> rows(String table) {
+    return tables.computeIfAbsent(table, t -> new TreeMap<>());
+  }
+
+  private void set(String table, String key, String base64) {
+    rows(table).put(key, new Row(base64, version, false));
+  }
+
+  private void handle(HttpExchange exchange) throws IOException {
+    Map<String, String> query = new HashMap<>();
+    String raw = exchange.getRequestURI().getRawQuery();
+    if (raw != null) {
+      for (String pair : raw.split("&")) {
+        String[] parts = pair.split("=", 2);
+        query.put(parts[0], URLDecoder.decode(parts[1], StandardCharsets.UTF_8));
+      }
+    }
+    String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    int[] status = {200};
+    String answer;
+    switch (exchange.getRequestURI().getPath()) {
+      case "/rows-get" -> answer = read(query);
+      case "/rows-feed" -> answer = feed(query);
+      case "/rows-tx" -> answer = write(body, status);
+      default -> {
+        status[0] = 404;
+        answer = "{}";
+      }
+    }
+    byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
+    exchange.getResponseHeaders().set("Content-Type", "application/json");
+    exchange.getResponseHeaders().set("Store-Era", "1");
+    exchange.sendResponseHeaders(status[0], bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+
+  private synchronized String read(Map<String, String> query) {
+    String from = query.getOrDefault("from", "");
+    StringBuilder out = new StringBuilder();
+    rows(query.get("table"))
+        .tailMap(from)
+        .forEach((key, row) -> out.append(row.removed() ? "" : json(key, row)));
+    return answer(out);
+  }
+
+  private synchronized String feed(Map<String, String> query) {
+    long since = Long.parseLong(query.get("since_rev"));
+    long end = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
+    while (true) {
+      StringBuilder out = new StringBuilder();
+      rows(query.get("table"))
+          .forEach((key, row) -> out.append(row.ver() > since ? json(key, row) : ""));
+      long left = (end - System.nanoTime()) / 1_000_000;
+      if (out.length() > 0 || left <= 0) {
+        return answer(out);
+      }
+      try {
+        wait(left);
+      } catch (InterruptedException e) {
+        return answer(out);
+      }
+    }
+  }
+
+  @SuppressWarnings("unchecked")
+  private synchronized String write(String body, int[] status) {
+    Map<String, Object> call = (Map<String, Object>) Json.parse(body);
+    for (Object o : (List<Object>) call.getOrDefault("expected_rev", List.of())) {
+      Map<String, Object> expected = (Map<String, Object>) o;
+      Row row = rows((String) expected.get("table")).get((String) expected.get("key"));
+      long actual = row == null || row.removed() ? 0 : row.ver();
+      if (actual != ((Number) expected.get("ver")).longValue()) {
+        status[0] = 412;
+        return answer(new StringBuilder());
+      }
+    }
+    version++;
+    for (Object o : (List<Object>) call.getOrDefault("put", List.of())) {
+      Map<String, Object> put = (Map<String, Object>) o;
+      set((String) put.get("table"), (String) put.get("key"), (String) put.get("value"));
+    }
+    for (Object o : (List<Object>) call.getOrDefault("remove", List.of())) {
+      Map<String, Object> gone = (Map<String, Object>) o;
+      rows((String) gone.get("table")).put((String) gone.get("key"), new Row("", version, true));
+    }
+    notifyAll();
+    return answer(new StringBuilder());
+  }
+
+  private static String json(String key, Row row) {
+    return String.format(
+        "{\"key\":%s,\"value\":\"%s\",\"ver\":%d,\"tombstone\":%b},",
+        Json.quote(key), row.value(), row.ver(), row.removed());
+  }
+
+  private String answer(StringBuilder rows) {
+    String list = rows.length() == 0 ? "" : rows.substring(0, rows.length() - 1);
+    return String.format(
+        "{\"rows\":[%s],\"truncated\":false,\"ver\":%d,\"now_ms\":%d}",
+        list, version, System.nanoTime() / 1_000_000);
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    threads.shutdownNow();
+  }
+}
