Show that an entry accepts a revoked key after a drill of the store

Cause: a starting entry is ready before it has asked the others whether they know a newer configuration than the restored store.

--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -27,6 +27,8 @@
           });
   private final HttpServer server;
   private long version = 1;
+  private long era = 1;
+  private boolean away;
 
   Store() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
@@ -51,6 +53,31 @@
     notifyAll();
   }
 
+  /** A copy of all rows, from which the store can come back. */
+  record Copy(Map<String, TreeMap<String, Row>> tables, long version) {}
+
+  synchronized Copy copy() {
+    Map<String, TreeMap<String, Row>> rows = new HashMap<>();
+    tables.forEach((name, table) -> rows.put(name, new TreeMap<>(table)));
+    return new Copy(rows, version);
+  }
+
+  /** Answers all calls with 503 from now on. */
+  synchronized void goAway() {
+    away = true;
+    notifyAll();
+  }
+
+  /** Comes back from a copy: what was written since is gone, and the era rises. */
+  synchronized void comeBack(Copy copy) {
+    tables.clear();
+    copy.tables().forEach((name, table) -> tables.put(name, new TreeMap<>(table)));
+    version = copy.version();
+    era++;
+    away = false;
+    notifyAll();
+  }
+
   private TreeMap<String, Row> rows(String table) {
     return tables.computeIfAbsent(table, t -> new TreeMap<>());
   }
@@ -71,18 +98,18 @@
     String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
     int[] status = {200};
     String answer;
-    switch (exchange.getRequestURI().getPath()) {
+    switch (isAway() ? "away" : exchange.getRequestURI().getPath()) {
       case "/rows-get" -> answer = read(query);
-      case "/rows-feed" -> answer = feed(query);
+      case "/rows-feed" -> answer = feed(query, status);
       case "/rows-tx" -> answer = write(body, status);
       default -> {
-        status[0] = 404;
+        status[0] = 503;
         answer = "{}";
       }
     }
     byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
     exchange.getResponseHeaders().set("Content-Type", "application/json");
-    exchange.getResponseHeaders().set("Store-Era", "1");
+    exchange.getResponseHeaders().set("Store-Era", Long.toString(era()));
     exchange.sendResponseHeaders(status[0], bytes.length);
     exchange.getResponseBody().write(bytes);
     exchange.close();
@@ -97,10 +124,27 @@
     return answer(out);
   }
 
-  private synchronized String feed(Map<String, String> query) {
+  private synchronized boolean isAway() {
+    return away;
+  }
+
+  private synchronized long era() {
+    return era;
+  }
+
+  private synchronized String feed(Map<String, String> query, int[] status) {
     long since = Long.parseLong(query.get("since_rev"));
     long end = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
+    long eraAtStart = era;
     while (true) {
+      if (away || era != eraAtStart) {
+        status[0] = 503;
+        return "{}";
+      }
+      if (since > version) {
+        status[0] = 410;
+        return answer(new StringBuilder());
+      }
       StringBuilder out = new StringBuilder();
       rows(query.get("table"))
           .forEach((key, row) -> out.append(row.ver() > since ? json(key, row) : ""));
