Show a worker's failure that reaches the client as a success

Cause: an idle connection to a worker that holds a part of a head is reused, and the part joins the next answer.

--- a/review/standins/Entry.java
+++ b/review/standins/Entry.java
@@ -126,7 +126,8 @@
   }
 
   /** Starts a worker of a plain service as a process of its own, whose output goes to a file. */
-  static Process startWorker(Path out, String id, int port, int slots, int queue, long workMillis)
+  static Process startWorker(
+      Path out, String id, int port, int slots, int queue, long workMillis, String... more)
       throws IOException {
     List<String> command = new ArrayList<>();
     command.add("java");
@@ -134,6 +135,7 @@
     command.addAll(List.of("-cp", "review/target", "Worker", id, Integer.toString(port)));
     command.addAll(
         List.of(Integer.toString(slots), Integer.toString(queue), Long.toString(workMillis)));
+    command.addAll(List.of(more));
     return new ProcessBuilder(command)
         .redirectErrorStream(true)
         .redirectOutput(ProcessBuilder.Redirect.appendTo(out.toFile()))
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -8,21 +8,33 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
+import java.util.Scanner;
 import java.util.TreeMap;
 import java.util.concurrent.Semaphore;
 
 /**
  * A stand-in for a worker of a plain service, run as a process of its own: {@code Worker ID PORT
- * SLOTS QUEUE WORK_MS}. It prints "begin WORKER REQUEST" when it begins to work on a request and
- * "end WORKER REQUEST" when it has done so.
+ * SLOTS QUEUE WORK_MS [ERROR_SHARE GARBLED_SHARE SEED]}. It prints "begin WORKER REQUEST" when it
+ * begins to work on a request and "end WORKER REQUEST" when it has done so, or "fail WORKER REQUEST"
+ * where it answers 500. The lines "garble" and "sound" on its input begin and end a time in which it
+ * sends additional bytes after a share of its complete answers: the first bytes of the same answer.
  */
 final class Worker {
   private final String id;
   private final Semaphore slots;
   private final Semaphore room;
   private final long workMillis;
+  private final double errorShare;
+  private final double garbledShare;
+  private final Random random;
+  private volatile boolean garbling;
 
-  private Worker(String id, int slots, int queue, long workMillis) {
+  private Worker(
+      String id, int slots, int queue, long workMillis, double errors, double garbled, long seed) {
+    this.errorShare = errors;
+    this.garbledShare = garbled;
+    this.random = new Random(seed);
     this.id = id;
     this.slots = new Semaphore(slots, true);
     this.room = new Semaphore(slots + queue);
@@ -35,7 +47,13 @@
             args[0],
             Integer.parseInt(args[2]),
             Integer.parseInt(args[3]),
-            Long.parseLong(args[4]));
+            Long.parseLong(args[4]),
+            args.length > 5 ? Double.parseDouble(args[5]) : 0,
+            args.length > 6 ? Double.parseDouble(args[6]) : 0,
+            args.length > 7 ? Long.parseLong(args[7]) : 0);
+    Thread commands = new Thread(worker::obey);
+    commands.setDaemon(true);
+    commands.start();
     ServerSocket server =
         new ServerSocket(Integer.parseInt(args[1]), 128, InetAddress.getByName("127.0.0.1"));
     System.out.println("listening " + args[0]);
@@ -47,6 +65,14 @@
     }
   }
 
+  private void obey() {
+    try (Scanner lines = new Scanner(System.in)) {
+      while (lines.hasNextLine()) {
+        garbling = lines.nextLine().equals("garble");
+      }
+    }
+  }
+
   private void serve(Socket socket) {
     try (socket) {
       socket.setTcpNoDelay(true);
@@ -75,19 +101,27 @@
       answer(out, "503 Service Unavailable", attempt, "X-Not-Executed: 1\r\n", "");
       return true;
     }
+    boolean failed = random.nextDouble() < errorShare;
     try {
       slots.acquireUninterruptibly();
       try {
         say("begin", attempt);
         sleep(workMillis);
-        say("end", attempt);
+        say(failed ? "fail" : "end", attempt);
       } finally {
         slots.release();
       }
     } finally {
       room.release();
     }
-    answer(out, "200 OK", attempt, "X-Worker-Signature: " + id + ".sig\r\n", "done " + attempt);
+    String status = failed ? "500 Internal Server Error" : "200 OK";
+    String body = (failed ? "failed " : "done ") + attempt;
+    answer(out, status, attempt, "X-Worker-Signature: " + id + ".sig\r\n", body);
+    if (!failed && garbling && random.nextDouble() < garbledShare) {
+      say("garbled", attempt);
+      out.write(("HTTP/1.1 " + status).getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
+    }
     return true;
   }
 
