Show a partitioned zone whose entries serve nothing

Cause: an entry that reaches no worker forwards requests to three entries of its own zone, which may all be partitioned as well.

--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -12,6 +12,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.regex.Pattern;
 
 /** A stand-in for the platform's store with its rows, feed and conditional transactions. */
 final class Store implements AutoCloseable {
@@ -26,15 +27,44 @@
             return t;
           });
   private final HttpServer server;
+  private final Map<String, String> otherPaths = new HashMap<>();
+  private HttpServer secondServer;
   private long version = 1;
   private long era = 1;
   private boolean away;
 
   Store() throws IOException {
-    server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
-    server.setExecutor(threads);
-    server.createContext("/", this::handle);
-    server.start();
+    server = listen();
+  }
+
+  private HttpServer listen() throws IOException {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0);
+    HttpServer http = HttpServer.create(any, 0);
+    http.setExecutor(threads);
+    http.createContext("/", this::handle);
+    http.start();
+    return http;
+  }
+
+  /**
+   * Opens a second port of the same store, for entries whose path to the workers leads through
+   * proxies: there, rows name other addresses.
+   *
+   * @param proxies the address that stands for each address of a worker
+   */
+  int openSecondPort(Map<String, String> proxies) throws IOException {
+    otherPaths.putAll(proxies);
+    secondServer = listen();
+    return secondServer.getAddress().getPort();
+  }
+
+  /** Returns a value with the addresses that the entries of the second port use. */
+  private String withOtherPaths(String base64) {
+    String text = new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
+    for (Map.Entry<String, String> path : otherPaths.entrySet()) {
+      text = text.replace("\"" + path.getKey() + "\"", "\"" + path.getValue() + "\"");
+    }
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
   }
 
   int port() {
@@ -107,6 +137,13 @@
         answer = "{}";
       }
     }
+    if (secondServer != null
+        && exchange.getLocalAddress().getPort() == secondServer.getAddress().getPort()) {
+      answer =
+          Pattern.compile("\"value\":\"([^\"]*)\"")
+              .matcher(answer)
+              .replaceAll(m -> "\"value\":\"" + withOtherPaths(m.group(1)) + "\"");
+    }
     byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
     exchange.getResponseHeaders().set("Content-Type", "application/json");
     exchange.getResponseHeaders().set("Store-Era", Long.toString(era()));
@@ -201,6 +238,9 @@
   @Override
   public void close() {
     server.stop(0);
+    if (secondServer != null) {
+      secondServer.stop(0);
+    }
     threads.shutdownNow();
   }
 }
