--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -1,29 +1,37 @@
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
-/** An entry starts while the store comes back from a copy that has a revoked key. */
+/** A worker sends additional bytes after some of its complete answers. */
 final class Case2 {
-  private static final String REVOKED_KEY = "k9revokedtenant2";
-  private static final long REVOKE_MILLIS = 5000;
-  private static final long AWAY_MILLIS = 500;
-  private static final long WRITTEN_AGAIN_MILLIS = 1000;
-  private static final int DRILLS = 3;
-  private static final long SEND_PERIOD_MILLIS = 10;
+  private static final int WORKERS = 3;
+  private static final int CLIENTS = 8;
+  private static final long WORK_MILLIS = 15;
+  private static final String ERROR_SHARE = "0.14";
+  private static final String GARBLED_SHARE = "0.03";
+  private static final int GARBLED_TIMES = 5;
+  private static final long GARBLED_MILLIS = 5500;
+  private static final long SOUND_MILLIS = 5500;
+  private static final long PAUSE_MILLIS = 10;
 
   private final boolean trouble;
   private final Record record;
   private final Path runs;
   private final Store store;
-  private final Map<String, Long> sentMillis = new ConcurrentHashMap<>();
-  private Process worker;
-  private Entry staying;
-  private Entry restarted;
+  private final List<Process> workers = new ArrayList<>();
+  private final Map<String, String> successes = new ConcurrentHashMap<>();
+  private final AtomicInteger answers = new AtomicInteger();
+  private volatile boolean over;
+  private Entry entry;
 
   private Case2(boolean trouble, Record record, Path runs, Store store) {
     this.trouble = trouble;
@@ -53,130 +61,109 @@
     System.exit(status);
   }
 
-  private static String config(int version, boolean withRevokedKey) {
-    String tenant = "{\"name\":\"shop-2\",\"api_keys\":[\"" + REVOKED_KEY + "\"]},";
-    return Deployment.config(version)
-        .replace("\"tenants\":[", "\"tenants\":[" + (withRevokedKey ? tenant : ""));
-  }
-
   private int run(Path folder) throws Exception {
-    int port = Entry.freePort("127.0.0.1");
-    worker = Entry.startWorker(runs, "i-7f3a91c2", port, 6, 24, 20);
-    Entry.awaitPort("127.0.0.1", port, 5000);
-    long born = System.currentTimeMillis();
-    store.put("op", "config", config(2, true));
-    store.put("servers", "i-7f3a91c2", Deployment.server(port, "kingston", "ready", born, 1));
-    staying = Entry.start(folder, 1, "kingston", store.port());
-    restarted = Entry.start(folder, 2, "kingston", store.port());
-    if (!staying.awaitReady(20_000) || !restarted.awaitReady(20_000)) {
-      record.say("an entry did not become ready");
-      return 2;
+    store.put("op", "config", Deployment.config(3));
+    for (int i = 0; i < WORKERS; i++) {
+      String id = "i-7f3a91c" + i;
+      int port = Entry.freePort("127.0.0.1");
+      workers.add(
+          Entry.startWorker(
+              runs, id, port, 6, 24, WORK_MILLIS, ERROR_SHARE, GARBLED_SHARE, "" + (i + 1)));
+      Entry.awaitPort("127.0.0.1", port, 5000);
+      long born = System.currentTimeMillis();
+      store.put("servers", id, Deployment.server(port, "kingston", "ready", born, 1));
     }
-    int broken = 0;
-    for (int drill = 1; drill <= DRILLS; drill++) {
-      int found = drill(drill, folder, port, born);
-      if (found < 0) {
-        return 2;
-      }
-      broken += found;
-    }
-    record.say("requests with the revoked key that ran: %d", broken);
-    return broken > 0 ? 1 : 0;
-  }
-
-  /** Plays one drill and returns how many requests broke the rule; -1 if it could not be played. */
-  private int drill(int drill, Path folder, int port, long born) throws Exception {
-    int version = 2 * drill + 1;
-    store.put("op", "config", config(version, true));
-    Worker.sleep(3000);
-    if (!isServed("key-in-force-" + drill)) {
-      record.say("the key was not served while it was in force");
-      return -1;
+    entry = Entry.start(folder, 1, "kingston", store.port());
+    if (!entry.awaitReady(20_000)) {
+      record.say("the entry did not become ready");
+      return 2;
     }
-    Store.Copy copy = store.copy();
-    record.say("a copy of the store is made");
-    Worker.sleep(300);
-    store.put("op", "config", config(version + 1, false));
-    long revokedMillis = System.currentTimeMillis();
-    record.say("version %d is acknowledged; it takes the key of shop-2 away", version + 1);
-    record.say("SIGTERM to entry 2, which is to be started again");
-    restarted.signal("TERM");
-    restarted.process.waitFor(10, TimeUnit.SECONDS);
-    long left = revokedMillis + REVOKE_MILLIS + 200 - System.currentTimeMillis();
-    Worker.sleep(Math.max(0, left));
-    if (trouble) {
-      record.say("the store is away");
-      store.goAway();
+    Worker.sleep(1500);
+    List<Thread> clients = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      String name = "lookup-" + i;
+      Thread client = new Thread(() -> ask(name));
+      client.start();
+      clients.add(client);
     }
-    restarted = Entry.start(folder, 2, "kingston", store.port());
-    record.say("entry 2 is started again");
-    ScheduledExecutorService clients = Executors.newScheduledThreadPool(32);
-    int count = 300;
-    for (int i = 0; i < count; i++) {
-      String id = "revoked-" + drill + "-" + i;
-      clients.schedule(() -> send(id), i * SEND_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    for (int i = 0; i < GARBLED_TIMES; i++) {
+      tell(trouble ? "garble" : "sound");
+      Worker.sleep(GARBLED_MILLIS);
+      tell("sound");
+      Worker.sleep(SOUND_MILLIS);
     }
-    Worker.sleep(AWAY_MILLIS);
-    if (trouble) {
-      store.comeBack(copy);
-      record.say("the store is back from the copy, with version %d", version);
-      store.put("servers", "i-7f3a91c2", Deployment.server(port, "kingston", "ready", born, 9));
+    over = true;
+    for (Thread client : clients) {
+      client.join(5000);
     }
-    Worker.sleep(WRITTEN_AGAIN_MILLIS);
-    if (trouble) {
-      store.put("op", "config", config(version + 1, false));
-      record.say("the operator has written version %d again", version + 1);
+    return judge();
+  }
+
+  /** Gives an order to the first worker. */
+  private void tell(String order) throws IOException {
+    record.say("worker i-7f3a91c0: %s", order);
+    workers.get(0).getOutputStream().write((order + "\n").getBytes(StandardCharsets.US_ASCII));
+    workers.get(0).getOutputStream().flush();
+  }
+
+  /** Sends one request after the other on a kept connection, until the play is over. */
+  private void ask(String name) {
+    int number = 0;
+    while (!over) {
+      try (Client client = new Client(entry.ip, entry.front)) {
+        boolean open = true;
+        while (open && !over) {
+          String id = name + "-" + number++;
+          Worker.Message answer = client.call("GET", "/stock/bundle", id, "");
+          answers.incrementAndGet();
+          open = answer != null && !"close".equalsIgnoreCase(answer.headers.get("connection"));
+          String text = answer == null ? "closed" : answer.start + ", " + new String(answer.body);
+          record.say("answer to %s: %s", id, text);
+          if (answer != null && answer.start.contains(" 200 ")) {
+            successes.put(id, new String(answer.body));
+          }
+          Worker.sleep(PAUSE_MILLIS);
+        }
+      } catch (IOException e) {
+        record.say("%s: %s", name, e);
+      }
     }
-    Worker.sleep(count * SEND_PERIOD_MILLIS - AWAY_MILLIS - WRITTEN_AGAIN_MILLIS + 1000);
-    clients.shutdownNow();
-    sentMillis.keySet().removeIf(id -> !id.startsWith("revoked-" + drill + "-"));
-    return judge(revokedMillis);
   }
 
-  private int judge(long revokedMillis) throws IOException {
-    int broken = 0;
+  private int judge() throws IOException {
+    Set<String> succeeded = new HashSet<>();
+    Map<String, String> failed = new HashMap<>();
+    int garbled = 0;
     for (String line : Files.readAllLines(runs)) {
       String[] words = line.split(" ");
-      if (words.length < 4 || !words[0].equals("begin") || !sentMillis.containsKey(words[2])) {
-        continue;
+      if (words[0].equals("end")) {
+        succeeded.add(words[2]);
+      } else if (words[0].equals("fail")) {
+        failed.put(words[2], words[1]);
+      } else if (words[0].equals("garbled")) {
+        garbled++;
       }
-      long after = sentMillis.get(words[2]) - revokedMillis;
-      if (after > REVOKE_MILLIS) {
+    }
+    int broken = 0;
+    for (Map.Entry<String, String> success : successes.entrySet()) {
+      String id = success.getKey();
+      if (!succeeded.contains(id)) {
         broken++;
         record.say(
-            "CONFIG: %s was sent %d ms after the key was taken away, and ran", words[2], after);
+            "MIXED: %s got 200 with the body \"%s\"; %s had answered it with 500",
+            id, success.getValue(), failed.get(id));
       }
     }
-    return broken;
-  }
-
-  private boolean isServed(String id) throws IOException {
-    try (Client client = new Client(restarted.ip, restarted.front, REVOKED_KEY)) {
-      Worker.Message answer = client.call("GET", "/stock/bundle", id, "");
-      return answer != null && answer.start.contains(" 200 ");
-    }
-  }
-
-  private void send(String id) {
-    try (Client client = new Client(restarted.ip, restarted.front, REVOKED_KEY)) {
-      sentMillis.put(id, System.currentTimeMillis());
-      record.say("sent %s to entry 2 with the revoked key", id);
-      Worker.Message answer = client.call("GET", "/stock/bundle", id, "");
-      record.say("answer to %s: %s", id, answer == null ? "closed" : answer.start);
-    } catch (IOException e) {
-      record.say("%s failed: %s", id, e.getMessage());
-    }
+    record.say("%d answers, %d of them followed by additional bytes", answers.get(), garbled);
+    record.say("failures that clients got as successes: %d", broken);
+    return answers.get() == 0 ? 2 : broken > 0 ? 1 : 0;
   }
 
   private void end() {
-    if (worker != null) {
-      Entry.end(worker);
-    }
-    if (staying != null) {
-      staying.close();
-    }
-    if (restarted != null) {
-      restarted.close();
+    over = true;
+    workers.forEach(Entry::end);
+    if (entry != null) {
+      entry.close();
     }
   }
 }
