--- a/review/standins/Entry.java
+++ b/review/standins/Entry.java
@@ -105,7 +105,7 @@
   }
 
   static void signal(Process process, String name) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
   }
 
   static int freePort(String ip) throws IOException {
