--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -14,7 +14,7 @@
   private static final int CLIENTS = 30;
   private static final long WORK_MILLIS = 150;
   private static final long CRASH_AFTER_MILLIS = 200;
-  private static final long DOWN_MILLIS = 4500;
+  private static final long DOWN_MILLIS = 4000;
 
   private final boolean trouble;
   private final Record record;
--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -18,7 +18,7 @@
   private static final long WORK_MILLIS = 15;
   private static final String ERROR_SHARE = "0.14";
   private static final String GARBLED_SHARE = "0.03";
-  private static final int GARBLED_TIMES = 5;
+  private static final int GARBLED_TIMES = 3;
   private static final long GARBLED_MILLIS = 5500;
   private static final long SOUND_MILLIS = 5500;
   private static final long PAUSE_MILLIS = 10;
--- a/review/standins/Entry.java
+++ b/review/standins/Entry.java
@@ -47,7 +47,13 @@
     builder.environment().put("GUAVAGW_LISTEN", ip + ":" + front);
     File log = folder.resolve("entry-" + n + ".log").toFile();
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log));
-    return new Entry(ip, front, ready, builder.start());
+    return new Entry(ip, front, ready, started(builder.start()));
+  }
+
+  /** Ends a process with this one, also where this one is ended from outside. */
+  private static Process started(Process process) {
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+    return process;
   }
 
   private static String settings(
@@ -136,10 +142,10 @@
     command.addAll(
         List.of(Integer.toString(slots), Integer.toString(queue), Long.toString(workMillis)));
     command.addAll(List.of(more));
-    return new ProcessBuilder(command)
-        .redirectErrorStream(true)
-        .redirectOutput(ProcessBuilder.Redirect.appendTo(out.toFile()))
-        .start();
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(out.toFile()));
+    return started(builder.start());
   }
 
   static boolean awaitPort(String ip, int port, long millis) {
