Show that a slow version of a fast service isn't found

The test plays the evidence alone: fifty slow answers of the new version are recorded and it still does not count as worse.

--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionEvidenceTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionEvidenceTest.java
@@ -102,6 +102,40 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+  void shouldDetectAFastServiceWhoseNewVersionIsSlowInAHalf(int seed) {
+    Random random = new Random(seed);
+    VersionEvidence evidence = new VersionEvidence();
+    int bad = 0;
+    while (!evidence.isNewVersionWorse()) {
+      succeed(evidence, fastServiceMillis(random), false);
+      if (random.nextInt(8) == 0) {
+        boolean slow = random.nextBoolean();
+        succeed(evidence, fastServiceMillis(random) * (slow ? 4 : 1), true);
+        bad += slow ? 1 : 0;
+      }
+      assertThat(bad).isLessThan(MAX_BAD_ANSWERS);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+  void shouldAcceptAFastServiceWhoseNewVersionIsAsFast(int seed) {
+    Random random = new Random(seed);
+    VersionEvidence evidence = new VersionEvidence();
+    for (int i = 0; i < 2000; i++) {
+      succeed(evidence, fastServiceMillis(random), false);
+      succeed(evidence, fastServiceMillis(random), true);
+      assertThat(evidence.isNewVersionWorse()).isFalse();
+    }
+  }
+
+  /** Returns a time whose median is 24 ms, while one in twenty exceeds 50 ms. */
+  private static double fastServiceMillis(Random random) {
+    return 24 * Math.exp(0.45 * random.nextGaussian());
+  }
+
   private static double paceMillis(Random random) {
     return 30 * Math.exp(0.45 * random.nextGaussian());
   }
