Don't expect lapses each time a hub tells that it lost the store

Cause: a hub that lost the store for some seconds says in its answers that registrations may have lapsed. Each follower began its own grace of 2.2 s anew with each such answer, also a follower that had missed nothing, as another entry was its hub meanwhile. A server that left in that time was kept for up to 4.4 s after the hub was back.

Why this works: the time for which lapses are expected is kept in one place (LapseExpectation) and begins once, with the end of an outage that this entry has seen itself. A hub's word begins it only if the entry's own orders had not been confirmed for longer than a hub's may be; if they had been, the store was not away. The message is unchanged, so that builds before and after understand each other.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -1,5 +1,6 @@
 package org.guavagw.gateway.internal.control;
 
+import com.google.common.base.Ticker;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -13,6 +14,7 @@
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
 import org.guavagw.gateway.spi.ControlFormat;
 import org.guavagw.gateway.spi.ControlStore;
+import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerMessage;
 import org.guavagw.internal.time.Clocks;
 
@@ -46,6 +48,7 @@
   private final ControlState state;
   private final MemberTable memberTable;
   private final ScheduledExecutorService control;
+  private final Ticker ticker;
   private final StoreHealth health;
   private final HubSelector hubSelector;
   private final TableReplica members;
@@ -85,6 +88,7 @@
     this.era = new StoreEra(this::onStoreRestored);
     this.configExchange =
         new ConfigExchange(state, memberTable::current, peers, control, clocks.monotonic(), log);
+    this.ticker = clocks.monotonic();
     TableReplica orders = new TableReplica(format.ordersTable(), state.ordersListener());
     TableReplica backends = new TableReplica(format.backendsTable(), state.backendsListener());
     TableReplica status = new TableReplica(format.statusTable(), state.statusListener());
@@ -119,19 +123,33 @@
     this.hubFollower =
         new HubFollower(
             replicas,
+            orders,
             era,
             hubTiming,
             hubSelector,
             peers,
             () -> pollers.forEach(TablePoller::start),
             () -> pollers.forEach(TablePoller::stop),
-            () -> state.storeRecovered(false),
-            row -> state.onPeerConfig(row, clocks.monotonic().read()),
+            hubListener(),
             control,
             clocks,
             log);
   }
 
+  private HubListener hubListener() {
+    return new HubListener() {
+      @Override
+      public void onLapsesExpected(boolean expected, boolean afterGap) {
+        state.hubExpectsLapses(expected, afterGap);
+      }
+
+      @Override
+      public void onNewerConfig(StoredRow row) {
+        state.onPeerConfig(row, ticker.read());
+      }
+    };
+  }
+
   private PollTiming ordersTiming(HubTiming hubTiming) {
     return new PollTiming(
         () ->
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -26,12 +26,6 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class ControlState {
-  /**
-   * Backend servers whose registration lapsed during a store outage register again within two
-   * seconds of its end; those still missing after this time are gone.
-   */
-  private static final Duration LAPSE_GRACE = Duration.ofMillis(2200);
-
   /** Time within which operators have written again what a restored store lost. */
   private static final Duration REWRITE_GRACE = Duration.ofSeconds(10);
 
@@ -47,9 +41,7 @@
   private Optional<StoredRow> configRow = Optional.empty();
   private long storedConfigVersion = Long.MIN_VALUE;
   private RouteTable routes = new RouteTable(List.of());
-  private boolean storeFailing;
-  private boolean lapseGraceStarted;
-  private long lapseGraceEndNanos;
+  private final LapseExpectation lapses;
   private boolean backendsKnown;
 
   /** Creates an empty state. */
@@ -65,6 +57,7 @@
     this.log = log;
     this.clocks = clocks;
     this.backends = new RegisteredBackends(log);
+    this.lapses = new LapseExpectation(clocks.monotonic());
   }
 
   TableListener ordersListener() {
@@ -159,7 +152,7 @@
    * lapse.
    */
   void storeLost() {
-    storeFailing = true;
+    lapses.onStoreLost();
   }
 
   /**
@@ -168,10 +161,25 @@
    * @param stillFailing whether calls for other tables still fail
    */
   void storeRecovered(boolean stillFailing) {
-    storeFailing = stillFailing;
-    lapseGraceStarted = true;
-    lapseGraceEndNanos = clocks.monotonic().read() + LAPSE_GRACE.toNanos();
-    control.schedule(this::removeLapsed, LAPSE_GRACE.toMillis(), TimeUnit.MILLISECONDS);
+    lapses.onStoreRecovered(stillFailing);
+    scheduleLapsedRemoval();
+  }
+
+  /** Records that the store was restored from a copy, which lacks what was written last. */
+  void storeRestored() {
+    lapses.onStoreRestored();
+    scheduleLapsedRemoval();
+  }
+
+  /** Records what a hub says of lapses, see {@link LapseExpectation#onHubAnswer}. */
+  void hubExpectsLapses(boolean expected, boolean afterGap) {
+    if (lapses.onHubAnswer(expected, afterGap)) {
+      scheduleLapsedRemoval();
+    }
+  }
+
+  private void scheduleLapsedRemoval() {
+    control.schedule(this::removeLapsed, LapseExpectation.GRACE.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   /**
@@ -179,13 +187,7 @@
    * lives.
    */
   boolean lapsesExpected() {
-    return storeFailing
-        || (lapseGraceStarted && lapseGraceEndNanos - clocks.monotonic().read() > 0);
-  }
-
-  /** Records that the store was restored from a copy, which lacks what was written last. */
-  void storeRestored() {
-    storeRecovered(storeFailing);
+    return lapses.isActive();
   }
 
   private void logRestored(String table, List<StoredRow> rows, int retained) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.PeerClient;
@@ -15,7 +14,6 @@
 import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
 import org.guavagw.gateway.spi.RowBatch;
-import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerMessage;
 import org.guavagw.internal.time.Clocks;
 
@@ -48,14 +46,14 @@
   private static final long DIFFERENT_ERAS = -1;
 
   private final List<TableReplica> replicas;
+  private final TableReplica orders;
   private final StoreEra era;
   private final HubTiming timing;
   private final HubSelector hubSelector;
   private final PeerClient peers;
   private final Runnable startStorePolling;
   private final Runnable stopStorePolling;
-  private final Runnable onLapsesExpected;
-  private final Consumer<StoredRow> onNewerConfig;
+  private final HubListener listener;
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final EventLog log;
@@ -66,32 +64,31 @@
    *
    * @param startStorePolling starts polling the store
    * @param stopStorePolling stops polling the store
-   * @param onLapsesExpected called when registrations of backend servers may have lapsed because of
-   *     a store outage
-   * @param onNewerConfig receives the row of a configuration that the restored store lacks
+   * @param replicas replicas of all tables
+   * @param orders the one of them whose age the hub's answers state
    */
   HubFollower(
       List<TableReplica> replicas,
+      TableReplica orders,
       StoreEra era,
       HubTiming timing,
       HubSelector hubSelector,
       PeerClient peers,
       Runnable startStorePolling,
       Runnable stopStorePolling,
-      Runnable onLapsesExpected,
-      Consumer<StoredRow> onNewerConfig,
+      HubListener listener,
       ScheduledExecutorService control,
       Clocks clocks,
       EventLog log) {
     this.replicas = replicas;
+    this.orders = orders;
     this.era = era;
     this.timing = timing;
     this.hubSelector = hubSelector;
     this.peers = peers;
     this.startStorePolling = startStorePolling;
     this.stopStorePolling = stopStorePolling;
-    this.onLapsesExpected = onLapsesExpected;
-    this.onNewerConfig = onNewerConfig;
+    this.listener = listener;
     this.control = control;
     this.clocks = clocks;
     this.log = log;
@@ -147,14 +144,12 @@
       return;
     }
     ClockReading checkedAt = sentAt.plus(Duration.ofNanos(answer.checkedAfterNanos()));
-    if (answer.lapsesExpected()) {
-      onLapsesExpected.run();
-    }
+    listener.onLapsesExpected(
+        answer.lapsesExpected(), orders.lastChecked().map(this::isTooOld).orElse(true));
     answer.tables().forEach(t -> applyUpdate(answer, t, checkedAt));
-    answer.newerConfig().forEach(onNewerConfig);
-    Duration age = checkedAt.age(clocks);
-    if (age.compareTo(timing.maxOrdersAge()) > 0) {
-      abandonHub(hub, "its orders are " + age.toMillis() + " ms old");
+    answer.newerConfig().forEach(listener::onNewerConfig);
+    if (isTooOld(checkedAt)) {
+      abandonHub(hub, "its orders are " + checkedAt.age(clocks).toMillis() + " ms old");
       return;
     }
     if (!following) {
@@ -165,6 +160,10 @@
     search();
   }
 
+  private boolean isTooOld(ClockReading checkedAt) {
+    return checkedAt.age(clocks).compareTo(timing.maxOrdersAge()) > 0;
+  }
+
   private void applyUpdate(ReplicaAnswer answer, TableUpdate update, ClockReading checkedAt) {
     RowBatch batch =
         new RowBatch(update.rows(), answer.era(), update.version(), answer.storeMillis());
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
@@ -45,6 +45,7 @@
     HubFollower follower =
         new HubFollower(
             List.of(replica),
+            replica,
             new StoreEra(previous -> {}),
             HubTiming.within(Duration.ofSeconds(2)),
             new HubSelector(() -> members, 4, clock),
@@ -55,8 +56,17 @@
             },
             () -> pollsStore = true,
             () -> pollsStore = false,
-            () -> lapsesExpected = true,
-            newerConfigs::add,
+            new HubListener() {
+              @Override
+              public void onLapsesExpected(boolean expected, boolean afterGap) {
+                lapsesExpected |= expected && afterGap;
+              }
+
+              @Override
+              public void onNewerConfig(StoredRow row) {
+                newerConfigs.add(row);
+              }
+            },
             control.eventLoop(),
             clock.clocks(),
             log);
@@ -136,6 +146,14 @@
     assertThat(lapsesExpected).isTrue();
   }
 
+  @Test
+  void shouldNotTakeAHubThatLostTheStoreAloneForAnOutageOfTheStore() {
+    followHub();
+    complete(new ReplicaAnswer(0, 0, 1, true, List.of(), List.of()));
+
+    assertThat(lapsesExpected).isFalse();
+  }
+
   @Test
   void shouldReplaceItsTablesByThoseOfARestoredStore() {
     followHub();
