Ask again for backend servers when the store has a newer version

What callers would see: requests to servers that drain, as the poll for backend servers may wait for 9.2 s on a connection whose answer was lost.

Cause: nothing bounds the age of the list. Only the orders are confirmed all the time.

Why this works: each answer states the version of the whole store, and the orders are asked for several times in each time limit. If the store has a newer version than the list and the pending poll doesn't return the change within 150 ms, it is asked for anew, on another connection. Polls that were pending when the store was lost are asked anew as well when it is back. While nothing changes in the store this costs no call.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -51,8 +51,10 @@
   private final Ticker ticker;
   private final StoreHealth health;
   private final HubSelector hubSelector;
+  private final TableReplica orders;
   private final TableReplica members;
   private final List<TableReplica> replicas;
+  private final TablePoller backendsPoller;
   private final List<TablePoller> pollers;
   private final ReplicaServer replicaServer;
   private final HubFollower hubFollower;
@@ -89,7 +91,7 @@
     this.configExchange =
         new ConfigExchange(state, memberTable::current, peers, control, clocks.monotonic(), log);
     this.ticker = clocks.monotonic();
-    TableReplica orders = new TableReplica(format.ordersTable(), state.ordersListener());
+    this.orders = new TableReplica(format.ordersTable(), state.ordersListener());
     TableReplica backends = new TableReplica(format.backendsTable(), state.backendsListener());
     TableReplica status = new TableReplica(format.statusTable(), state.statusListener());
     this.hubSelector = hubSelector;
@@ -114,10 +116,11 @@
         new PollTiming(() -> DEFAULT_POLL_TIMEOUT, () -> Duration.ZERO, FIRST_POLL_DELAY);
     PollTiming membersTiming =
         new PollTiming(() -> MEMBERS_POLL_TIMEOUT, () -> MEMBERS_BATCH_DELAY, Duration.ZERO);
+    this.backendsPoller = poller(backends, backendsTiming, store, clocks);
     this.pollers =
         List.of(
             poller(orders, ordersTiming(hubTiming), store, clocks),
-            poller(backends, backendsTiming, store, clocks),
+            backendsPoller,
             poller(status, statusTiming, store, clocks),
             poller(members, membersTiming, store, clocks));
     this.hubFollower =
@@ -228,6 +231,8 @@
     if (members.isLoaded() && hubSelector.hubToFollow().isEmpty()) {
       pollers.forEach(TablePoller::startPolls);
     }
+    // Each answer states the version of the whole store; those for the orders come most often.
+    backendsPoller.onStoreVersion(orders.version());
     replicaServer.onReplicaChanged();
   }
 
@@ -240,7 +245,9 @@
   @Override
   public void onStoreRecovered() {
     state.storeRecovered(health.isFailing());
+    long now = ticker.read();
     pollers.forEach(TablePoller::retryNow);
+    pollers.forEach(poller -> poller.refreshIfPendingSince(now));
   }
 
   @Override
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
@@ -39,6 +39,9 @@
    */
   private static final Duration TIMER_TOLERANCE = Duration.ofMillis(50);
 
+  /** Time in which a change reaches the call that waits for it; a few calls to the store. */
+  private static final Duration CHANGE_DELIVERY_TIME = Duration.ofMillis(150);
+
   /** Poll timeout of a call that is to be answered at once. */
   private static final Duration IMMEDIATE_POLL_TIMEOUT = Duration.ofMillis(1);
 
@@ -52,6 +55,9 @@
   private final Clocks clocks;
   private final EventLog log;
   private boolean historyLost;
+  private boolean answerPending;
+  private boolean versionCheckScheduled;
+  private long sentNanos;
   private boolean awaitingFirstPoll;
   private boolean running;
   private boolean catchingUp;
@@ -116,6 +122,37 @@
     }
   }
 
+  /**
+   * Asks for changes anew if the answer to a call from before a monotonic time is still pending, as
+   * it may have been lost.
+   */
+  void refreshIfPendingSince(long nanos) {
+    if (answerPending && sentNanos - nanos < 0) {
+      refresh();
+    }
+  }
+
+  /**
+   * Takes note that the store has a version. A pending call that does not return the changes up to
+   * it soon may have lost its answer, and they are asked for anew.
+   */
+  void onStoreVersion(long newest) {
+    if (!running || !answerPending || versionCheckScheduled || newest <= replica.version()) {
+      return;
+    }
+    versionCheckScheduled = true;
+    long noticedNanos = nowNanos();
+    control.schedule(
+        () -> {
+          versionCheckScheduled = false;
+          if (newest > replica.version()) {
+            refreshIfPendingSince(noticedNanos);
+          }
+        },
+        CHANGE_DELIVERY_TIME.toMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
   /** Polls now if the first poll is scheduled for later. */
   void startPolls() {
     if (running && awaitingFirstPoll) {
@@ -136,6 +173,8 @@
     ClockReading sentAt = ClockReading.now(clocks);
     long callGeneration = generation;
     awaitingFirstPoll = false;
+    answerPending = true;
+    sentNanos = sentAt.nanos();
     if (replica.isLoaded() && !historyLost && replica.era() == era.current()) {
       Duration timeout = catchingUp ? IMMEDIATE_POLL_TIMEOUT : timing.timeout();
       store
@@ -168,6 +207,7 @@
     if (callGeneration != generation) {
       return false;
     }
+    answerPending = false;
     if (!newest) {
       log.event("stale_answer_ignored")
           .with("table", replica.table())
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/LeavingServerBoundTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/LeavingServerBoundTest.java
@@ -59,6 +59,20 @@
     }
   }
 
+  @ParameterizedTest
+  @CsvSource({"78, 3, 3", "24, 2, 2", "8, 2, 2"})
+  void shouldNotUseAServerThatLeftWhenOnlyThatAnswerWasLost(
+      int entries, int configSeconds, int limitSeconds) {
+    try (SimulatedDeployment deployment = start(entries, configSeconds)) {
+      deployment.hubs().forEach(hub -> deployment.store().silence(hub, TABLE));
+
+      deployment.store().put(TABLE, SERVER, "draining");
+      deployment.advance(Duration.ofSeconds(limitSeconds));
+
+      assertThat(deployment.using(SERVER)).isEmpty();
+    }
+  }
+
   @Test
   void shouldKeepServersWhoseRegistrationsLapsedWithTheStore() {
     try (SimulatedDeployment deployment = start(78, 3)) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SimulatedStore.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SimulatedStore.java
@@ -90,6 +90,11 @@
     polls.removeIf(p -> p.entry.equals(entry));
   }
 
+  /** Loses the answer of the call of an entry that waits for changes of a table. */
+  void silence(String entry, String table) {
+    polls.removeIf(p -> p.entry.equals(entry) && p.table.equals(table));
+  }
+
   private RowBatch batch(List<StoredRow> rows) {
     return new RowBatch(rows, 0, version, TimeUnit.NANOSECONDS.toMillis(clock.read()));
   }
