Find versions of fast services that answer slowly

Cause: answers that begin within 150 ms never counted as slow, whatever is usual. That figure was meant for prompts that a new version has to read anew; a service that answers in 25 ms may become eight times slower unnoticed.

Change: requests without a prompt have a floor of 20 ms and a margin of 0.05 of their own; their times count only where the server has at most half of its slots taken, as beyond that the load decides. Requests with a prompt are judged as before.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
@@ -22,6 +22,7 @@
   private final BackendServer server;
   private final PrefillEstimate prefill;
   private final Duration estimate;
+  private final boolean comparable;
   private final long sentNanos;
   private long lastReceivedNanos;
   private long firstEventNanos;
@@ -35,16 +36,20 @@
    * Starts tracking an attempt that is sent now.
    *
    * @param estimatedMillis estimated time until its answer begins
+   * @param comparable whether the backend server has so little to do that its time can be compared
+   *     with those of other servers
    */
   AttemptProgress(
       LoadTracker loads,
       BackendServer server,
       PrefillEstimate prefill,
       double estimatedMillis,
+      boolean comparable,
       long sentNanos) {
     this.estimate = Duration.ofMillis(Math.round(estimatedMillis));
     this.loads = loads;
     this.server = server;
+    this.comparable = comparable;
     this.prefill = prefill;
     this.sentNanos = sentNanos;
     this.lastReceivedNanos = sentNanos;
@@ -87,6 +92,11 @@
     return events > 0;
   }
 
+  /** Returns whether its time can be compared with those of attempts on other servers. */
+  boolean isComparable() {
+    return comparable;
+  }
+
   /** Marks that its time is reported; returns whether it was not before. */
   boolean markTimed() {
     boolean isNew = !timed;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
@@ -18,6 +18,12 @@
    */
   private static final int MIN_CONNECTIONS = 4;
 
+  /**
+   * Part of a backend server's slots up to which the load doesn't make its answers slower; beyond
+   * it their times say little of its version.
+   */
+  private static final double COMPARABLE_LOAD = 0.5;
+
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   private final ExchangeDependencies shared;
@@ -54,8 +60,10 @@
         prefill,
         loads.totalInFlight(chosen),
         loads.totalPendingPrefillMillis(chosen));
+    boolean comparable =
+        loads.totalInFlight(chosen) <= Math.max(1, COMPARABLE_LOAD * chosen.slots());
     return new AttemptProgress(
-        loads, chosen, prefill, pendingPrefillMillis + prefill.millis(), now);
+        loads, chosen, prefill, pendingPrefillMillis + prefill.millis(), comparable, now);
   }
 
   /**
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -64,7 +64,7 @@
     this.planner = new AttemptPlanner(shared, request, plan);
     this.sender = new AttemptSender(shared, request, plan, log);
     this.monitor = new StalledAttemptMonitor(shared, request, this);
-    this.outcomes = new OutcomeReporter(shared, request.route(), plan);
+    this.outcomes = new OutcomeReporter(shared, request, plan);
     this.counts =
         new AttemptCounts(
             request.route().maxAttempts(),
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.relay;
 
 import java.util.Optional;
+import org.guavagw.gateway.internal.rollout.WorkKind;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.Route;
 
@@ -13,11 +14,13 @@
 
   private final ExchangeDependencies shared;
   private final Route route;
+  private final boolean readsPrompt;
   private final RequestPlan plan;
 
-  OutcomeReporter(ExchangeDependencies shared, Route route, RequestPlan plan) {
+  OutcomeReporter(ExchangeDependencies shared, AdmittedRequest request, RequestPlan plan) {
     this.shared = shared;
-    this.route = route;
+    this.route = request.route();
+    this.readsPrompt = request.caller().promptTokens() > 0;
     this.plan = plan;
   }
 
@@ -37,17 +40,19 @@
   /** Reports an attempt whose answer has not begun if it is very slow by now. */
   void reportIfVerySlow(AttemptProgress attempt, Optional<String> model, long now) {
     double millis = millisSince(attempt, now);
-    if (shared.rollouts().isVerySlow(plan.service(), workloadName(model), millis)) {
+    if (shared.rollouts().isVerySlow(plan.service(), workKind(model), millis)) {
       reportTiming(attempt, model, millis);
     }
   }
 
   private void reportTiming(AttemptProgress attempt, Optional<String> model, double millis) {
-    if (attempt.markTimed()) {
+    // Engines process their requests in batches, so that their load says less.
+    boolean comparable = readsPrompt || attempt.isComparable();
+    if (comparable && attempt.markTimed()) {
       BackendServer server = attempt.server();
       shared
           .rollouts()
-          .onTiming(plan.service(), server.version(), route.name(), workloadName(model), millis);
+          .onTiming(plan.service(), server.version(), route.name(), workKind(model), millis);
     }
   }
 
@@ -64,11 +69,7 @@
                 shared
                     .rollouts()
                     .onPace(
-                        plan.service(),
-                        server.version(),
-                        route.name(),
-                        workloadName(model),
-                        millis));
+                        plan.service(), server.version(), route.name(), workKind(model), millis));
   }
 
   private static double millisSince(AttemptProgress attempt, long now) {
@@ -90,8 +91,8 @@
     }
   }
 
-  private String workloadName(Optional<String> model) {
-    return route.name() + model.map(m -> "/" + m).orElse("");
+  private WorkKind workKind(Optional<String> model) {
+    return new WorkKind(route.name() + model.map(m -> "/" + m).orElse(""), readsPrompt);
   }
 
   /** Reports a failure of a backend server that had received the attempt. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
@@ -108,23 +108,22 @@
   }
 
   /** Records the time until an answer began, or until {@link #isVerySlow} was found. */
-  public void onTiming(
-      String service, String version, String route, String workKind, double millis) {
+  public void onTiming(String service, String version, String route, WorkKind kind, double millis) {
     activeRollout(service)
         .ifPresent(
-            r -> r.evidence.onTiming(route, workKind, millis, version.equals(r.order.toVersion())));
+            r -> r.evidence.onTiming(route, kind, millis, version.equals(r.order.toVersion())));
   }
 
   /** Records the mean time between the first events of an answer. */
-  public void onPace(String service, String version, String route, String workKind, double millis) {
+  public void onPace(String service, String version, String route, WorkKind kind, double millis) {
     activeRollout(service)
         .ifPresent(
-            r -> r.evidence.onPace(route, workKind, millis, version.equals(r.order.toVersion())));
+            r -> r.evidence.onPace(route, kind, millis, version.equals(r.order.toVersion())));
   }
 
   /** Returns whether an answer that has not begun after this time is very slow for a rollout. */
-  public boolean isVerySlow(String service, String workKind, double millis) {
-    return activeRollout(service).filter(r -> r.evidence.isVerySlow(workKind, millis)).isPresent();
+  public boolean isVerySlow(String service, WorkKind kind, double millis) {
+    return activeRollout(service).filter(r -> r.evidence.isVerySlow(kind, millis)).isPresent();
   }
 
   /** Records a failure of a backend server. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/VersionEvidence.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/VersionEvidence.java
@@ -29,10 +29,13 @@
   private static final double FAILURE_MARGIN = 0.03;
 
   /**
-   * Difference in the rate of slow answers that is tolerated; a sound version has to read prompts
-   * anew that the old ones have cached.
+   * Difference in the rate of slow answers that is tolerated where prompts are read, as a sound
+   * version has to read those anew that the old ones have cached.
    */
-  private static final double SLOW_MARGIN = 0.15;
+  private static final double SLOW_PROMPT_MARGIN = 0.15;
+
+  /** Difference in the rate of slow answers that is tolerated where no prompts are read. */
+  private static final double SLOW_MARGIN = 0.05;
 
   /** Difference in the rate of answers whose events come slowly that is tolerated. */
   private static final double SLOW_PACE_MARGIN = 0.2;
@@ -53,9 +56,16 @@
   private static final double MIN_SLOW_PACE_MILLIS = 20;
 
   /**
-   * Answers faster than this are never slow; their times reflect the network more than the version.
+   * Answers to prompts that begin sooner than this are never slow; a sound version has to read
+   * prompts anew that the old ones have cached.
+   */
+  private static final double MIN_SLOW_PROMPT_MILLIS = 150;
+
+  /**
+   * Other answers that begin sooner than this are never slow; their times reflect the network and
+   * the load of this entry more than the version.
    */
-  private static final double MIN_SLOW_MILLIS = 150;
+  private static final double MIN_SLOW_MILLIS = 20;
 
   /** Times of the old versions whose median is the usual time. */
   private static final int USUAL_TIMES = 63;
@@ -66,8 +76,8 @@
   private final SequentialTest test = new MixtureRatioTest();
   private final Map<String, RouteTally> local = new HashMap<>();
   private final Map<String, Map<String, RouteTally>> remoteByEntry = new HashMap<>();
-  private final Map<String, UsualTime> usualTimes = new HashMap<>();
-  private final Map<String, UsualTime> usualPaces = new HashMap<>();
+  private final Map<WorkKind, UsualTime> usualTimes = new HashMap<>();
+  private final Map<WorkKind, UsualTime> usualPaces = new HashMap<>();
   private boolean changed;
   private boolean badAnswerSeen;
 
@@ -81,27 +91,28 @@
   }
 
   /** Returns whether an answer that has not begun after this time counts as very slow. */
-  boolean isVerySlow(String workKind, double millis) {
-    return exceeds(VERY_SLOW_FACTOR, workKind, millis);
+  boolean isVerySlow(WorkKind kind, double millis) {
+    return exceeds(VERY_SLOW_FACTOR, kind, millis);
   }
 
-  private boolean exceeds(double factor, String workKind, double millis) {
-    UsualTime usual = usualTimes.get(workKind);
-    return usual != null && millis > MIN_SLOW_MILLIS && millis > factor * usual.median;
+  private boolean exceeds(double factor, WorkKind kind, double millis) {
+    UsualTime usual = usualTimes.get(kind);
+    double minSlowMillis = kind.readsPrompt() ? MIN_SLOW_PROMPT_MILLIS : MIN_SLOW_MILLIS;
+    return usual != null && millis > minSlowMillis && millis > factor * usual.median;
   }
 
   /**
    * Records the time until an answer began, or until it was very slow. Answers that end are no
    * substitute: those of a slow version end late, or are given up before.
    */
-  void onTiming(String route, String workKind, double millis, boolean onNew) {
-    if (usualTimes.containsKey(workKind)) {
-      boolean slow = exceeds(SLOW_FACTOR, workKind, millis);
-      addLocal(route, RouteTally.ofTiming(onNew, slow, isVerySlow(workKind, millis)));
+  void onTiming(String route, WorkKind kind, double millis, boolean onNew) {
+    if (usualTimes.containsKey(kind)) {
+      boolean slow = exceeds(SLOW_FACTOR, kind, millis);
+      addLocal(route, RouteTally.ofTiming(onNew, slow, isVerySlow(kind, millis)));
       badAnswerSeen |= onNew && slow;
     }
     if (!onNew) {
-      usualTimes.computeIfAbsent(workKind, k -> new UsualTime()).add(millis);
+      usualTimes.computeIfAbsent(kind, k -> new UsualTime()).add(millis);
     }
   }
 
@@ -109,8 +120,8 @@
    * Records the mean time between the first events of an answer, which depends less on the load and
    * on what is cached than the time until it begins.
    */
-  void onPace(String route, String workKind, double millis, boolean onNew) {
-    UsualTime usual = usualPaces.computeIfAbsent(workKind, k -> new UsualTime());
+  void onPace(String route, WorkKind kind, double millis, boolean onNew) {
+    UsualTime usual = usualPaces.computeIfAbsent(kind, k -> new UsualTime());
     if (!usual.isEmpty()) {
       boolean slow = millis > MIN_SLOW_PACE_MILLIS && millis > SLOW_PACE_FACTOR * usual.median;
       addLocal(route, RouteTally.ofPace(onNew, slow));
@@ -177,13 +188,19 @@
 
   private double evidenceOfSlowness(RouteTally tally) {
     return DoubleStream.of(
-            evidence(tally, a -> new Tally(a.timed(), a.slow()), SLOW_MARGIN),
+            evidence(tally, a -> new Tally(a.timed(), a.slow()), slowMargin()),
             evidence(tally, a -> new Tally(a.timed(), a.verySlow()), VERY_SLOW_MARGIN),
             evidence(tally, a -> new Tally(a.paced(), a.slowlyPaced()), SLOW_PACE_MARGIN))
         .max()
         .orElseThrow();
   }
 
+  private double slowMargin() {
+    boolean promptless =
+        !usualTimes.isEmpty() && usualTimes.keySet().stream().noneMatch(WorkKind::readsPrompt);
+    return promptless ? SLOW_MARGIN : SLOW_PROMPT_MARGIN;
+  }
+
   private double evidence(RouteTally tally, Function<Answers, Tally> bad, double margin) {
     Tally newVersion = bad.apply(tally.newVersion());
     return newVersion.bad() < MIN_BAD_ANSWERS
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionEvidenceTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/rollout/VersionEvidenceTest.java
@@ -23,6 +23,9 @@
   /** Time for a prompt of 5,000 tokens that the old version has cached. */
   private static final double PREFILL_MILLIS = 80;
 
+  private static final WorkKind ENGINE = new WorkKind("r/m", true);
+  private static final WorkKind SERVICE = new WorkKind("r", false);
+
   @ParameterizedTest
   @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
   void shouldDetectAVersionThatFailsAThirdWellBeforeTheLimit(int seed) {
@@ -81,9 +84,9 @@
     VersionEvidence evidence = new VersionEvidence();
     int onNew = 0;
     while (!evidence.isNewVersionWorse()) {
-      evidence.onPace("r", "r/m", paceMillis(random), false);
+      evidence.onPace("r", ENGINE, paceMillis(random), false);
       if (random.nextInt(8) == 0) {
-        evidence.onPace("r", "r/m", paceMillis(random) * 3.5, true);
+        evidence.onPace("r", ENGINE, paceMillis(random) * 3.5, true);
         onNew++;
       }
     }
@@ -96,8 +99,8 @@
     Random random = new Random(seed);
     VersionEvidence evidence = new VersionEvidence();
     for (int i = 0; i < 2000; i++) {
-      evidence.onPace("r", "r/m", i < 100 ? paceMillis(random) : IDLE_PACE_MILLIS, false);
-      evidence.onPace("r", "r/m", paceMillis(random), true);
+      evidence.onPace("r", ENGINE, i < 100 ? paceMillis(random) : IDLE_PACE_MILLIS, false);
+      evidence.onPace("r", ENGINE, paceMillis(random), true);
       assertThat(evidence.isNewVersionWorse()).isFalse();
     }
   }
@@ -109,10 +112,10 @@
     VersionEvidence evidence = new VersionEvidence();
     int bad = 0;
     while (!evidence.isNewVersionWorse()) {
-      succeed(evidence, fastServiceMillis(random), false);
+      succeed(evidence, SERVICE, fastServiceMillis(random), false);
       if (random.nextInt(8) == 0) {
         boolean slow = random.nextBoolean();
-        succeed(evidence, fastServiceMillis(random) * (slow ? 4 : 1), true);
+        succeed(evidence, SERVICE, fastServiceMillis(random) * (slow ? 4 : 1), true);
         bad += slow ? 1 : 0;
       }
       assertThat(bad).isLessThan(MAX_BAD_ANSWERS);
@@ -125,8 +128,8 @@
     Random random = new Random(seed);
     VersionEvidence evidence = new VersionEvidence();
     for (int i = 0; i < 2000; i++) {
-      succeed(evidence, fastServiceMillis(random), false);
-      succeed(evidence, fastServiceMillis(random), true);
+      succeed(evidence, SERVICE, fastServiceMillis(random), false);
+      succeed(evidence, SERVICE, fastServiceMillis(random), true);
       assertThat(evidence.isNewVersionWorse()).isFalse();
     }
   }
@@ -213,7 +216,12 @@
   }
 
   private static void succeed(VersionEvidence evidence, double millis, boolean onNew) {
-    evidence.onTiming("r", "r/m", millis, onNew);
+    succeed(evidence, ENGINE, millis, onNew);
+  }
+
+  private static void succeed(
+      VersionEvidence evidence, WorkKind kind, double millis, boolean onNew) {
+    evidence.onTiming("r", kind, millis, onNew);
     evidence.onSuccess("r", onNew);
   }
 }
