Read odd registrations as none, and go on reading after any of them

A format that throws on a row would have ended the polling of its table, as nothing caught it; such a row is unreadable now and leaves the others (ControlStateTest). A port out of range in an entry's own row is ignored.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -228,7 +228,7 @@
 
   /** Puts the configuration of another entry in force if it is newer than the one of this entry. */
   void onPeerConfig(StoredRow row, long nowNanos) {
-    ControlRow decoded = format.decode(format.ordersTable(), row, nowNanos);
+    ControlRow decoded = decode(format.ordersTable(), row, nowNanos);
     if (decoded instanceof ControlRow.Configuration c) {
       applyConfig(c.config(), row);
       publish();
@@ -243,7 +243,7 @@
       log.event("order_removed").with("row", row.key()).with("version", row.version()).write();
       return;
     }
-    ControlRow decoded = format.decode(format.ordersTable(), row, nowNanos);
+    ControlRow decoded = decode(format.ordersTable(), row, nowNanos);
     if (decoded instanceof ControlRow.Configuration c) {
       storedConfigVersion = c.config().version();
       applyConfig(c.config(), row);
@@ -285,7 +285,7 @@
       backends.onGone(row.key(), lapsesExpected(), nowNanos);
       return;
     }
-    ControlRow decoded = format.decode(format.backendsTable(), row, nowNanos);
+    ControlRow decoded = decode(format.backendsTable(), row, nowNanos);
     if (decoded instanceof ControlRow.Backend b) {
       backends.register(row.key(), b.server(), fromCopy, nowNanos);
     } else {
@@ -314,7 +314,7 @@
       statuses.byService().keySet().removeIf(s -> format.rolloutStatusKey(s).equals(row.key()));
       return;
     }
-    ControlRow decoded = format.decode(format.statusTable(), row, nowNanos);
+    ControlRow decoded = decode(format.statusTable(), row, nowNanos);
     if (decoded instanceof ControlRow.Status s) {
       statuses.put(s.status());
       log.event("rollout_state")
@@ -327,6 +327,15 @@
     }
   }
 
+  /** Decodes a row; one that the format cannot handle is unreadable and leaves the others. */
+  private ControlRow decode(String table, StoredRow row, long nowNanos) {
+    try {
+      return format.decode(table, row, nowNanos);
+    } catch (RuntimeException | StackOverflowError e) {
+      return new ControlRow.Unreadable("the row cannot be decoded: " + e);
+    }
+  }
+
   private void logUnreadable(String table, StoredRow row, ControlRow decoded) {
     String reason = decoded instanceof ControlRow.Unreadable u ? u.reason() : "unexpected row";
     log.event("row_ignored")
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberRowCodec.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberRowCodec.java
@@ -12,6 +12,7 @@
 final class MemberRowCodec {
   private static final String SEPARATOR = " ";
   private static final int FIELDS = 3;
+  private static final int MAX_PORT = 65_535;
 
   private MemberRowCodec() {}
 
@@ -24,7 +25,7 @@
     List<String> fields =
         Splitter.on(SEPARATOR).splitToList(new String(row.value(), StandardCharsets.UTF_8));
     Integer port = fields.size() == FIELDS ? Ints.tryParse(fields.get(2)) : null;
-    return port == null
+    return port == null || port < 0 || port > MAX_PORT
         ? Optional.empty()
         : Optional.of(new Member(row.key(), fields.get(0), fields.get(1), port));
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ControlStateTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ControlStateTest.java
@@ -45,6 +45,16 @@
     assertThat(backends()).containsExactly("w2");
   }
 
+  @Test
+  void shouldReadTheOtherRowsIfOneCannotBeDecoded() {
+    state
+        .backendsListener()
+        .onChanges(
+            List.of(registered(SampleFormat.THROWING_KEY, 3), registered("w3", 4)), clock.read());
+
+    assertThat(backends()).containsExactlyInAnyOrder("w1", "w2", "w3");
+  }
+
   @Test
   void shouldKeepBackendServersWhoseRegistrationsLapseDuringAStoreOutage() {
     state.storeLost();
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SampleFormat.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SampleFormat.java
@@ -8,6 +8,9 @@
 
 /** Decodes each row as a backend server whose id is the key of the row. Stateless. */
 final class SampleFormat implements ControlFormat {
+  /** Key of a row that cannot be decoded. */
+  static final String THROWING_KEY = "throwing";
+
   @Override
   public String ordersTable() {
     return "orders";
@@ -30,6 +33,9 @@
 
   @Override
   public ControlRow decode(String table, StoredRow row, long nowNanos) {
+    if (row.key().equals(THROWING_KEY)) {
+      throw new IllegalArgumentException("scripted");
+    }
     return new ControlRow.Backend(Samples.server(row.key(), "dc1", "v1"));
   }
 
