Use no bytes of a kept connection that belong to another request

Callers were told that a request had not run that had, or got a failure as a success.

One rule now: on a connection that was used before, only an answer that names the pending request is its answer, and nothing else proves that it has not run. AnswerDecoder never decodes bytes that arrive while no request is pending; such a connection is closed, as is one with bytes after its answer, or one that gave the answer of another request. A head with a second status line in it is no answer. A connection that has carried a request doesn't carry it again.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -25,9 +26,11 @@
 /**
  * One connection to a backend server. Confined to the traffic thread.
  *
- * <p>Invariants: an answer reaches the listener only if it names no request or the pending one; an
- * answer that names another request is read and dropped; an answer that ends with its connection is
- * complete only if the connection was closed without an error.
+ * <p>Invariants: an answer reaches the listener only if it names the pending request; on the first
+ * use of the connection, and on those to other entries, it may also name none. An answer that names
+ * another request is read and dropped, and the connection is not used again, nor after bytes that
+ * belong to no answer. An answer that ends with its connection is complete only if the connection
+ * was closed without an error.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class BackendConnection extends ChannelInboundHandlerAdapter {
@@ -40,7 +43,9 @@
   private static final Duration DEFAULT_IDLE_LIMIT = Duration.ofSeconds(30);
 
   private final RelayFormat format;
+  private final boolean answersNamed;
   private final BackendConnectionPool.ServerConnections serverConnections;
+  private AnswerDecoder decoder;
   private ChannelHandlerContext context;
   private AttemptListener listener;
   private String expectedId;
@@ -59,11 +64,26 @@
 
   private Duration idleLimit = DEFAULT_IDLE_LIMIT;
 
-  BackendConnection(RelayFormat format, BackendConnectionPool.ServerConnections serverConnections) {
+  BackendConnection(
+      RelayFormat format,
+      boolean answersNamed,
+      BackendConnectionPool.ServerConnections serverConnections) {
     this.format = format;
+    this.answersNamed = answersNamed;
     this.serverConnections = serverConnections;
   }
 
+  /** Creates the decoder of the answers on this connection. */
+  AnswerDecoder openDecoder(HttpDecoderConfig config) {
+    decoder = new AnswerDecoder(config, this::close);
+    return decoder;
+  }
+
+  /** Returns whether this connection has carried a request most recently. */
+  boolean hasCarried(String requestId) {
+    return requestId.equals(expectedId);
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
@@ -84,6 +104,7 @@
     sentNanos = System.nanoTime();
     generation++;
     long ownGeneration = generation;
+    decoder.onRequest(request.method());
     write(request);
     return new ConnectionAttempt(ownGeneration);
   }
@@ -143,8 +164,14 @@
       return;
     }
     AnswerHead answer = format.answer(head);
-    if (!answer.requestId().isEmpty() && !answer.requestId().equals(expectedId)) {
+    boolean unnamed = answer.requestId().isEmpty() && !expectedId.isEmpty();
+    if (AnswerDecoder.isJoined(head) || (unnamed && answersNamed && reused)) {
+      fail(AttemptFailure.UNUSABLE);
+      return;
+    }
+    if (!unnamed && !answer.requestId().equals(expectedId)) {
       skippingAnswer = true;
+      reusable = false;
       return;
     }
     receivingAnswer = true;
@@ -191,7 +218,8 @@
     listener = null;
     receivingAnswer = false;
     generation++;
-    if (isUsable() && requestSent && !idleLimit.isNegative()) {
+    boolean clean = decoder.onAnswerComplete();
+    if (clean && isUsable() && requestSent && !idleLimit.isNegative()) {
       context.channel().config().setAutoRead(true);
       serverConnections.putIdle(this, idleLimit);
     } else {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
@@ -6,8 +6,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -48,6 +48,7 @@
   private final RelayFormat format;
   private final PendingReadBarrier readBarrier;
   private final ConnectListener connectListener;
+  private final boolean answersNamed;
   private final Ticker ticker;
   private final Map<String, ServerConnections> connectionsByIncarnation = new HashMap<>();
 
@@ -55,14 +56,17 @@
    * Creates an empty pool.
    *
    * @param connectListener is notified of the outcome of every connection before anybody else
+   * @param answersNamed whether all answers name their requests; those of other entries don't
    */
   BackendConnectionPool(
       Transport transport,
       RelayFormat format,
       PendingReadBarrier readBarrier,
       ConnectListener connectListener,
+      boolean answersNamed,
       Ticker ticker) {
     this.format = format;
+    this.answersNamed = answersNamed;
     this.readBarrier = readBarrier;
     this.connectListener = connectListener;
     this.ticker = ticker;
@@ -78,7 +82,8 @@
     ServerConnections connections =
         connectionsByIncarnation.computeIfAbsent(
             server.incarnation(), i -> new ServerConnections());
-    BackendConnection idle = request.requiresNewConnection() ? null : connections.takeIdle();
+    BackendConnection idle =
+        request.requiresNewConnection() ? null : connections.takeIdle(request.id());
     if (idle != null) {
       return idle.send(request, listener);
     }
@@ -97,7 +102,7 @@
     ServerConnections connections =
         connectionsByIncarnation.computeIfAbsent(
             server.incarnation(), i -> new ServerConnections());
-    BackendConnection connection = new BackendConnection(format, connections);
+    BackendConnection connection = new BackendConnection(format, answersNamed, connections);
     connections.openCount++;
     open(server, connection)
         .addListener(
@@ -116,7 +121,7 @@
       ServerConnections connections,
       OutgoingRequest request,
       AttemptListener listener) {
-    BackendConnection connection = new BackendConnection(format, connections);
+    BackendConnection connection = new BackendConnection(format, answersNamed, connections);
     connections.openCount++;
     ChannelFuture connecting = open(server, connection);
     request.body().retain();
@@ -179,7 +184,8 @@
               protected void initChannel(Channel channel) {
                 channel
                     .pipeline()
-                    .addLast(new HttpClientCodec(DECODER_CONFIG, false, false))
+                    .addLast(connection.openDecoder(DECODER_CONFIG))
+                    .addLast(new HttpRequestEncoder())
                     .addLast(connection);
               }
             })
@@ -219,11 +225,15 @@
     private final Deque<BackendConnection> idle = new ArrayDeque<>();
     private int openCount;
 
-    private BackendConnection takeIdle() {
+    /**
+     * Returns an idle connection that may carry a request; those that have carried it before are
+     * closed, as another copy of their answer could not be told from the next one.
+     */
+    private BackendConnection takeIdle(String requestId) {
       for (BackendConnection candidate = idle.pollFirst();
           candidate != null;
           candidate = idle.pollFirst()) {
-        if (candidate.isUsable()) {
+        if (candidate.isUsable() && !candidate.hasCarried(requestId)) {
           return candidate;
         }
         candidate.close();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
@@ -31,7 +31,7 @@
     this.pool =
         closer.register(
             new BackendConnectionPool(
-                transport, format, readBarrier, ConnectListener.NONE, ticker));
+                transport, format, readBarrier, ConnectListener.NONE, false, ticker));
   }
 
   /** Returns the connections to other entries. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -125,7 +125,7 @@
     this.connectivity = new BackendConnectivity(this::probe, this::serversInService, ticker, log);
     this.pool =
         closer.register(
-            new BackendConnectionPool(transport, format, readBarrier, connectivity, ticker));
+            new BackendConnectionPool(transport, format, readBarrier, connectivity, true, ticker));
     this.forwarding =
         closer.register(new EntryForwarding(transport, format, readBarrier, members, ticker));
     this.availability = newAvailability(log);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendConnectionPoolTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendConnectionPoolTest.java
@@ -43,6 +43,7 @@
             null,
             new PendingReadBarrier(transport.group().next(), lagging, ticker),
             ConnectListener.NONE,
+            true,
             ticker);
   }
 
