Let no event without an id into a stream whose events have ids

Another operator's report: a stream broke off, and the error of the next worker appeared in it, or the stream ended as if it were complete.

An event without an id never follows one with an id now; the attempt fails and the stream goes on elsewhere or is broken off. Comments belong to the next event and pass as before.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
@@ -9,9 +9,10 @@
 /**
  * Forwards events to the caller as they arrive.
  *
- * <p>Invariants: only complete events are forwarded, and their ids, if any, are consecutive; the
- * answer to the caller starts with the first event, so that the request can be retried until then.
- * Traffic thread only.
+ * <p>Invariants: only complete events are forwarded; their ids are consecutive, and an event
+ * without an id never follows one that has one, so that an error can't join a stream that has
+ * begun; the answer to the caller starts with the first event, so that the request can be retried
+ * until then. Traffic thread only.
  */
 final class StreamedAnswerForwarder implements AnswerForwarder {
   private final Exchange exchange;
@@ -65,7 +66,10 @@
 
   private boolean inOrder(OptionalLong id) {
     OptionalLong last = exchange.lastEventId();
-    return id.isEmpty() || last.isEmpty() || id.getAsLong() == last.getAsLong() + 1;
+    if (last.isEmpty()) {
+      return true;
+    }
+    return id.isPresent() && id.getAsLong() == last.getAsLong() + 1;
   }
 
   @Override
