End each exchange once, whatever comes first

Cause: for a lost connection the exchange asked whether the server had ended, with a callback that retries or refuses, and then refused the request itself. The callback may run at once; the end of an exchange didn't look at whether it had ended before. The count of attempts was set back as the server had ended, so that the request could be sent again.

Change: ExchangeLifecycle has one transition out of the active state; every end goes through Exchange.end, which does nothing the second time. A request that may run only once and may have run is refused before anything else is asked, and AttemptCounts allows no further attempt for it, whatever became of its server (ExchangeHistoryTest, random histories). Whether a weaker answer may be replaced is a question of its own, as before.

Result: LostAnswerTest, CrashingRequestTest and the tests of the adapter that were run with them hold.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptCounts.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptCounts.java
@@ -8,7 +8,9 @@
  *
  * <p>Invariants: a request is proven not to have run only while no attempt may have been executed;
  * every attempt counts that was written to a connection and not provably turned away, as the end of
- * a connection does not tell whether the request ran, unless its backend server has ended.
+ * a connection does not tell whether the request ran, unless its backend server has ended; a
+ * request that may run only once gets no other attempt after one that may have run, whatever became
+ * of its backend server.
  */
 final class AttemptCounts {
   /**
@@ -20,6 +22,7 @@
   /** Backend servers that may end under a request before it is given up. */
   private static final int MAX_SERVERS_ENDED = 4;
 
+  private final boolean safeToRetry;
   private final int maxAttempts;
   private final RetryBudget budget;
   private int executed;
@@ -31,10 +34,12 @@
   /**
    * Creates counts of a request without attempts.
    *
+   * @param safeToRetry whether the request may be executed more than once
    * @param maxAttempts attempts of the route that may be executed
    * @param attemptsElsewhere attempts of another entry that count, too
    */
-  AttemptCounts(int maxAttempts, int attemptsElsewhere, RetryBudget budget) {
+  AttemptCounts(boolean safeToRetry, int maxAttempts, int attemptsElsewhere, RetryBudget budget) {
+    this.safeToRetry = safeToRetry;
     this.maxAttempts = maxAttempts;
     this.budget = budget;
     this.executed = attemptsElsewhere;
@@ -93,9 +98,18 @@
 
   /** Returns whether the route allows another attempt beside those that were executed. */
   boolean allowsAnother() {
+    return mayRunAgain() && counted() < maxAttempts;
+  }
+
+  /** Returns whether the route allows another attempt in place of an answer that could be used. */
+  boolean allowsBetterAnswer() {
     return counted() < maxAttempts;
   }
 
+  private boolean mayRunAgain() {
+    return safeToRetry || provenNotRun;
+  }
+
   /** Returns whether there could be another attempt if a pending one is given up. */
   boolean allowsReplacing(AttemptProgress pending, long now) {
     int counted = counted() + (pending.countedAsExecuted() ? 0 : 1);
@@ -112,11 +126,14 @@
    * whether it is.
    */
   boolean tryBetterAnswer(long now) {
-    return allowsAnother() && budget.tryImprovement(now);
+    return allowsBetterAnswer() && budget.tryImprovement(now);
   }
 
   /** Reserves another attempt after a failed one if one is allowed and returns whether it is. */
   boolean tryRetryAfter(AttemptFailure failure, long now) {
+    if (!mayRunAgain()) {
+      return false;
+    }
     if (failure.unsent()) {
       return true;
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -36,6 +36,7 @@
   private final AttemptSender sender;
   private final StalledAttemptMonitor monitor;
   private final AttemptCounts counts;
+  private final ExchangeLifecycle lifecycle = new ExchangeLifecycle();
   private final Set<String> triedIncarnations = new HashSet<>();
   private final RequestPlan plan;
   private final ScheduledFuture<?> deadlineTimer;
@@ -46,7 +47,6 @@
   private boolean firstAttemptSent;
   private boolean streamStarted;
   private boolean connectionsFailed;
-  private boolean done;
   private ForwardedExchange forwarded;
   private int attemptCount;
   private long firstEventNanos;
@@ -67,6 +67,7 @@
     this.outcomes = new OutcomeReporter(shared, request, plan);
     this.counts =
         new AttemptCounts(
+            request.route().safeToRetry(),
             request.route().maxAttempts(),
             request.attemptsElsewhere().orElse(0),
             shared.retryBudgets().apply(plan.service()));
@@ -86,6 +87,9 @@
   }
 
   private void dispatch() {
+    if (!lifecycle.isActive()) {
+      return;
+    }
     long now = shared.ticker().read();
     if (isOver(now)) {
       onTimeout();
@@ -111,13 +115,14 @@
   }
 
   private boolean mayForward() {
-    boolean safe = request.route().safeToRetry() || counts.provenNotRun();
-    return !request.forwarded() && safe && counts.allowsAnother();
+    return !request.forwarded() && counts.allowsAnother();
   }
 
   /** Lets another entry serve the request from here on. */
   private void forward() {
-    done = true;
+    if (!lifecycle.tryForward()) {
+      return;
+    }
     deadlineTimer.cancel(false);
     ForwardedExchange.State state =
         new ForwardedExchange.State(
@@ -143,7 +148,10 @@
 
   private boolean isStillWanted(BackendServer chosen) {
     long now = shared.ticker().read();
-    return !done && !isOver(now) && !guard.holds(now) && shared.availability().accepts(chosen, now);
+    return lifecycle.isActive()
+        && !isOver(now)
+        && !guard.holds(now)
+        && shared.availability().accepts(chosen, now);
   }
 
   /** Returns whether the current attempt waits at a backend server that it is likely to end. */
@@ -175,7 +183,9 @@
 
   /** Returns the progress of an attempt if it is still in flight. */
   Optional<AttemptProgress> inFlightAttempt(int attemptNumber) {
-    return done || attemptCount != attemptNumber ? Optional.empty() : Optional.ofNullable(progress);
+    return lifecycle.isActive() && attemptCount == attemptNumber
+        ? Optional.ofNullable(progress)
+        : Optional.empty();
   }
 
   /** Returns the backend server that a retry would go to, if a retry is allowed. */
@@ -202,6 +212,10 @@
 
   /** Forwards a buffered answer and takes ownership of its body. */
   void forwardBuffered(AnswerHead answer, HttpHeaders headers, ByteBuf body) {
+    if (!lifecycle.isActive()) {
+      body.release();
+      return;
+    }
     if (streamStarted) {
       // A stream that has begun can only be continued with further events.
       body.release();
@@ -215,14 +229,15 @@
     } else {
       outcomes.reportFailure(progress.server());
     }
-    end(success ? "answered" : "server_error", answer.status());
-    sink.send(answer.status(), headers, body);
-    onDone.run();
+    end(
+        success ? "answered" : "server_error",
+        answer.status(),
+        () -> sink.send(answer.status(), headers, body));
   }
 
   /** Forwards an event and takes ownership of its bytes. */
   void forwardEvent(AnswerHead answer, HttpResponse head, EventSplitter.Event event) {
-    if (done || attempt == null) {
+    if (!lifecycle.isActive() || attempt == null) {
       event.bytes().release();
       return;
     }
@@ -284,7 +299,7 @@
 
   private boolean tryStrongerModel(String strongerModel, int confidence) {
     long now = shared.ticker().read();
-    if (!counts.allowsAnother()
+    if (!counts.allowsBetterAnswer()
         || planner.selectServer(Optional.of(strongerModel), Set.of(), now).isEmpty()
         || !counts.tryBetterAnswer(now)) {
       return false;
@@ -330,9 +345,7 @@
     startAnswerOnce(head);
     var unused = sink.write(rest);
     outcomes.reportSuccess(progress.server());
-    end("streamed", 200);
-    sink.finish();
-    onDone.run();
+    end("streamed", 200, sink::finish);
   }
 
   /** Cancels the current attempt for a reason internal to the gateway. */
@@ -353,7 +366,7 @@
   }
 
   void onAttemptFailed(AttemptFailure failure) {
-    if (done || progress == null) {
+    if (!lifecycle.isActive() || progress == null) {
       return;
     }
     long now = shared.ticker().read();
@@ -363,24 +376,21 @@
     connectionsFailed |= failure == AttemptFailure.UNREACHABLE;
     AttemptProgress failed = progress;
     endAttempt();
+    if (failure.mayHaveRun() && !request.route().safeToRetry()) {
+      refuse(ExchangeRefusals.answerLost(failure));
+    }
     if (failure.connectionLost()) {
       guard.onConnectionLost(
           failed.server(),
           !failed.hasEvents(),
           ended -> onServerChecked(failed, failure, ended),
           () -> retryOrRefuse(failure));
-    }
-    if (failure.mayHaveRun() && !request.route().safeToRetry()) {
-      refuse(ExchangeRefusals.answerLost(failure));
-    } else if (!failure.connectionLost()) {
+    } else {
       retryOrRefuse(failure);
     }
   }
 
   private void onServerChecked(AttemptProgress failed, AttemptFailure failure, boolean ended) {
-    if (done) {
-      return;
-    }
     if (ended) {
       counts.onServerEnded(failed);
       shared.loads().onUnreachable(failed.server(), shared.ticker().read());
@@ -391,7 +401,7 @@
   }
 
   private void retryOrRefuse(AttemptFailure failure) {
-    if (done) {
+    if (!lifecycle.isActive()) {
       return;
     }
     long now = shared.ticker().read();
@@ -418,17 +428,22 @@
 
   private void refuse(Refusal refusal) {
     Refusal adjusted = ExchangeRefusals.withProof(refusal, counts.provenNotRun());
-    end(adjusted.code().wireName() + ": " + adjusted.reason(), adjusted.code().httpStatus());
+    end(
+        adjusted.code().wireName() + ": " + adjusted.reason(),
+        adjusted.code().httpStatus(),
+        () -> writeRefusal(adjusted));
+  }
+
+  private void writeRefusal(Refusal refusal) {
     if (streamStarted) {
       sink.abort();
     } else {
-      RefusalWriter.write(sink, adjusted);
+      RefusalWriter.write(sink, refusal);
     }
-    onDone.run();
   }
 
   private void onTimeout() {
-    if (done) {
+    if (!lifecycle.isActive()) {
       return;
     }
     if (attempt != null) {
@@ -444,14 +459,10 @@
       forwarded.onCallerDisconnected();
       return;
     }
-    if (done) {
-      return;
-    }
     if (attempt != null) {
       attempt.cancel();
     }
-    end("caller_gone", 0);
-    onDone.run();
+    end("caller_gone", 0, () -> {});
   }
 
   private void endAttempt() {
@@ -467,8 +478,15 @@
     }
   }
 
-  private void end(String outcome, int status) {
-    done = true;
+  /**
+   * Ends the exchange unless it has ended or another entry serves it; every end goes through here.
+   *
+   * @param answer gives the caller its final answer
+   */
+  private void end(String outcome, int status, Runnable answer) {
+    if (!lifecycle.tryEnd()) {
+      return;
+    }
     deadlineTimer.cancel(false);
     log.ended(
         new ExchangeLog.Summary(
@@ -482,5 +500,7 @@
         Optional.ofNullable(progress).map(AttemptProgress::server));
     endAttempt();
     request.body().release();
+    answer.run();
+    onDone.run();
   }
 }
