Refuse requests whose end is not certain

The library's decoder takes such a request for one without a body.

RequestFraming decides by RFC 9112, section 6, before anything else is done: Transfer-Encoding only as chunked, once, not in HTTP/1.0 and not beside a length; one length, of digits. Such requests get 400, and their connection is closed.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -139,7 +139,7 @@
     keepAlive = HttpUtil.isKeepAlive(request);
     startIdleTimer(limits().headerTimeout().toMillis());
     Either<String, CallerRequest> decoded = shared.exchangeDependencies().format().decode(request);
-    malformed = decoded.isLeft() || hasAmbiguousLength(request);
+    malformed = decoded.isLeft() || !RequestFraming.isCertain(request);
     caller = decoded.getOrNull();
     if (HttpUtil.is100ContinueExpected(request) && !malformed) {
       context.writeAndFlush(
@@ -147,16 +147,6 @@
     }
   }
 
-  /**
-   * Returns whether both headers that define the length of the body are present, which would allow
-   * a second request to be smuggled into the body of the first.
-   */
-  private static boolean hasAmbiguousLength(HttpRequest request) {
-    HttpHeaders headers = request.headers();
-    return headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
-        && headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-  }
-
   private void onContent(HttpContent content) {
     if (head == null) {
       return;
