--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
@@ -62,10 +62,10 @@
   /**
    * Creates a follower that is idle until {@link #start}.
    *
-   * @param startStorePolling starts polling the store
-   * @param stopStorePolling stops polling the store
    * @param replicas replicas of all tables
    * @param orders the one of them whose age the hub's answers state
+   * @param startStorePolling starts polling the store
+   * @param stopStorePolling stops polling the store
    */
   HubFollower(
       List<TableReplica> replicas,
