--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.guavagw.gateway.internal.cascade.AttemptEstimate;
 import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.CallerRequest;
 
 /**
@@ -53,6 +54,13 @@
     return shared.loads().expectedMillis(server, model, caller.prompt(), caller.promptTokens());
   }
 
+  /** Returns the stronger model that is to answer in place of a weaker one, if any. */
+  Optional<String> strongerModel(String weaker, AnswerHead answer) {
+    return shared
+        .models()
+        .escalationModel(request.route(), weaker, answer.confidence(), this::estimate);
+  }
+
   /** Estimates an attempt that uses the model and is sent now. */
   AttemptEstimate estimate(String model) {
     long now = shared.ticker().read();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -249,7 +249,7 @@
     progress.onEvent(lastEventId.isEmpty());
     outcomes.reportPace(progress, model);
     if (!streamStarted) {
-      Optional<String> better = model.flatMap(m -> strongerModel(m, answer));
+      Optional<String> better = model.flatMap(m -> planner.strongerModel(m, answer));
       if (better.isPresent() && tryStrongerModel(better.get(), answer.confidence().orElse(-1))) {
         event.bytes().release();
         return;
@@ -291,12 +291,6 @@
     return shared.format().callerHeaders(head);
   }
 
-  private Optional<String> strongerModel(String weaker, AnswerHead answer) {
-    return shared
-        .models()
-        .escalationModel(request.route(), weaker, answer.confidence(), planner::estimate);
-  }
-
   private boolean tryStrongerModel(String strongerModel, int confidence) {
     long now = shared.ticker().read();
     if (!counts.allowsBetterAnswer()
