End a forwarded exchange once, by construction

Change: it ends through one transition of ExchangeLifecycle, as Exchange does, and the caller's answer is written after that transition only.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -9,10 +9,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.guavagw.Refusal;
 import org.guavagw.gateway.model.BackendServer;
-import org.guavagw.gateway.model.RouteKind;
 import org.guavagw.gateway.spi.AnswerHead;
 
 /**
@@ -73,13 +71,7 @@
             shared.retryBudgets().apply(plan.service()));
     this.lastEventId = request.caller().resumeAfter();
     this.model = shared.models().initialModel(request.route(), request.caller());
-    this.deadlineTimer =
-        shared
-            .eventLoop()
-            .schedule(
-                this::onTimeout,
-                plan.deadlineNanos() - shared.ticker().read(),
-                TimeUnit.NANOSECONDS);
+    this.deadlineTimer = shared.runAt(plan.deadlineNanos(), this::onTimeout);
   }
 
   void start() {
@@ -103,7 +95,8 @@
     boolean cutOff = shared.connectivity().isCutOff(plan.service());
     Optional<BackendServer> chosen =
         cutOff ? Optional.empty() : planner.selectServer(model, triedIncarnations, now);
-    if (chosen.isEmpty() && (cutOff || connectionsFailed) && mayForward()) {
+    boolean mayForward = !request.forwarded() && counts.allowsAnother();
+    if (chosen.isEmpty() && (cutOff || connectionsFailed) && mayForward) {
       forward();
       return;
     }
@@ -114,10 +107,6 @@
     startAttempt(chosen.get(), now);
   }
 
-  private boolean mayForward() {
-    return !request.forwarded() && counts.allowsAnother();
-  }
-
   /** Lets another entry serve the request from here on. */
   private void forward() {
     if (!lifecycle.tryForward()) {
@@ -168,10 +157,7 @@
     }
     progress = sender.begin(chosen, model, now);
     monitor.watch(++attemptCount);
-    forwarder =
-        request.route().kind() == RouteKind.STREAM
-            ? new StreamedAnswerForwarder(this)
-            : new BufferedAnswerForwarder(this);
+    forwarder = AnswerForwarder.of(this, request.route().kind());
     int attemptNumber = attemptCount;
     Attempt sent =
         sender.send(chosen, model, lastEventId, () -> isStillWanted(chosen), forwarder, now);
@@ -398,11 +384,10 @@
     if (!lifecycle.isActive()) {
       return;
     }
-    long now = shared.ticker().read();
-    if (counts.tryRetryAfter(failure, now)) {
+    if (counts.tryRetryAfter(failure, shared.ticker().read())) {
       dispatch();
     } else {
-      refuseAfterFailure(failure, now);
+      refuseAfterFailure(failure);
     }
   }
 
@@ -413,10 +398,10 @@
         && counts.tryAnother(shared.ticker().read());
   }
 
-  private void refuseAfterFailure(AttemptFailure failure, long now) {
+  private void refuseAfterFailure(AttemptFailure failure) {
     refuse(
         counts.provenNotRun()
-            ? ExchangeRefusals.turnedAway(planner.retryDelay(true, now))
+            ? ExchangeRefusals.turnedAway(planner.retryDelay(true, shared.ticker().read()))
             : ExchangeRefusals.failed(failure));
   }
 
@@ -437,14 +422,27 @@
   }
 
   private void onTimeout() {
-    if (!lifecycle.isActive()) {
-      return;
+    if (lifecycle.isActive()) {
+      abandonAttempt();
+      refuse(ExchangeRefusals.deadlinePassed(counts.provenNotRun()));
     }
+  }
+
+  /** Answers the caller because this entry stops before the request can end. */
+  void onEntryStopping() {
+    if (forwarded != null) {
+      forwarded.onEntryStopping();
+    } else if (lifecycle.isActive()) {
+      abandonAttempt();
+      refuse(ExchangeRefusals.entryStopping());
+    }
+  }
+
+  private void abandonAttempt() {
     if (attempt != null) {
       attempt.cancel();
       counts.onAbandoned();
     }
-    refuse(ExchangeRefusals.deadlinePassed(counts.provenNotRun()));
   }
 
   /** Ends the exchange because the caller has disconnected. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
@@ -2,6 +2,8 @@
 
 import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.guavagw.gateway.internal.cascade.ModelSelector;
@@ -46,4 +48,9 @@
     Ticker ticker,
     EventLog log,
     GatewayMetrics metrics,
-    Supplier<Members> members) {}
+    Supplier<Members> members) {
+  /** Runs a task on the traffic thread at a monotonic time. */
+  ScheduledFuture<?> runAt(long nanos, Runnable task) {
+    return eventLoop.schedule(task, nanos - ticker.read(), TimeUnit.NANOSECONDS);
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeRefusals.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeRefusals.java
@@ -42,6 +42,13 @@
         RefusalCode.BACKEND_FAILED, RunState.UNKNOWN, "the last attempt failed: " + failure);
   }
 
+  static Refusal entryStopping() {
+    return Refusal.notRun(
+        RefusalCode.SHUTTING_DOWN,
+        "this entry is shutting down and cannot finish the request",
+        RetryAfterDelays.SHUTTING_DOWN);
+  }
+
   static Refusal deadlinePassed(boolean provenNotRun) {
     return provenNotRun
         ? Refusal.notRun(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.guavagw.Refusal;
 import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.model.BackendServer;
@@ -49,7 +48,7 @@
   private Attempt attempt;
   private boolean provenNotRun;
   private boolean answerStarted;
-  private boolean done;
+  private final ExchangeLifecycle lifecycle = new ExchangeLifecycle();
 
   /**
    * What became of the request here before it is forwarded. Immutable.
@@ -82,16 +81,13 @@
     this.log = log;
     this.provenNotRun = state.provenNotRun();
     this.answerStarted = state.answerStarted();
-    this.deadlineTimer =
-        shared
-            .eventLoop()
-            .schedule(
-                this::onTimeout,
-                state.deadlineNanos() - shared.ticker().read(),
-                TimeUnit.NANOSECONDS);
+    this.deadlineTimer = shared.runAt(state.deadlineNanos(), this::onTimeout);
   }
 
   void start() {
+    if (!lifecycle.isActive()) {
+      return;
+    }
     long now = shared.ticker().read();
     Optional<Member> entry =
         triedEntries.size() < MAX_ENTRIES
@@ -126,7 +122,7 @@
         request.body(),
         request.chunked(),
         !request.route().safeToRetry(),
-        () -> !done);
+        lifecycle::isActive);
   }
 
   /** Resumes reading once the connection of the caller is writable again. */
@@ -138,19 +134,28 @@
 
   /** Ends the exchange because the caller has disconnected. */
   void onCallerDisconnected() {
-    if (!done) {
-      cancelAttempt();
-      end("caller_gone", 0);
-    }
+    cancelAttempt();
+    end("caller_gone", 0, () -> {});
   }
 
   private void onTimeout() {
-    if (done) {
-      return;
+    if (lifecycle.isActive()) {
+      abandonAttempt();
+      refuse(ExchangeRefusals.deadlinePassed(provenNotRun));
+    }
+  }
+
+  /** Answers the caller because this entry stops before the request can end. */
+  void onEntryStopping() {
+    if (lifecycle.isActive()) {
+      abandonAttempt();
+      refuse(ExchangeRefusals.entryStopping());
     }
+  }
+
+  private void abandonAttempt() {
     provenNotRun &= attempt == null;
     cancelAttempt();
-    refuse(ExchangeRefusals.deadlinePassed(provenNotRun));
   }
 
   private void cancelAttempt() {
@@ -162,22 +167,28 @@
 
   private void refuse(Refusal refusal) {
     Refusal adjusted = ExchangeRefusals.withProof(refusal, provenNotRun);
-    if (answerStarted) {
-      sink.abort();
-    } else {
-      RefusalWriter.write(sink, adjusted);
-    }
-    end(adjusted.code().wireName() + ": " + adjusted.reason(), adjusted.code().httpStatus());
+    end(
+        adjusted.code().wireName() + ": " + adjusted.reason(),
+        adjusted.code().httpStatus(),
+        answerStarted ? sink::abort : () -> RefusalWriter.write(sink, adjusted));
   }
 
-  private void end(String outcome, int status) {
-    done = true;
+  /**
+   * Ends the exchange unless it has ended; every end goes through here.
+   *
+   * @param answer gives the caller its final answer
+   */
+  private void end(String outcome, int status, Runnable answer) {
+    if (!lifecycle.tryEnd()) {
+      return;
+    }
     deadlineTimer.cancel(false);
     log.ended(
         new ExchangeLog.Summary("forwarded, " + outcome, status, state.attempts(), 0, 0, 0),
         Optional.empty(),
         Optional.empty());
     request.body().release();
+    answer.run();
     onDone.run();
   }
 
@@ -227,14 +238,15 @@
         shared.forwarding().selector().avoid(entry, shared.ticker().read());
         start();
       } else if (streaming) {
-        sink.finish();
-        end("streamed", head.status().code());
+        end("streamed", head.status().code(), sink::finish);
       } else if (answerStarted) {
-        sink.abort();
-        end("stream not continued", head.status().code());
+        end("stream not continued", head.status().code(), sink::abort);
       } else {
-        sink.send(head.status().code(), shared.format().callerHeaders(head), body.copy());
-        end("answered", head.status().code());
+        end(
+            "answered",
+            head.status().code(),
+            () ->
+                sink.send(head.status().code(), shared.format().callerHeaders(head), body.copy()));
       }
     }
 
