Cut no answer and no slow request in a planned stop

Requests that came late were refused truly before, if their route's time didn't fit, and are now.

Change: a request is in flight from its head until the socket has taken the last byte of its answer. What is left at the end of the time is answered within the reserve of 0.6 s: 503 with "not run" where that is proven, else 502; a stream that has begun is broken off.

The same cause in calm: a connection whose answer was queued counted as idle, so that an answer which its caller read more slowly than the idle timeout was cut (SlowReaderTest: 6,090,013 of 7,500,000 bytes). It is kept now as long as the caller takes something within 20 s.

Result: PlannedStopTest, SlowReaderTest, StoppingEntryTest, PartitionedEntryTest and PlatformGatewayTest hold.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -44,7 +44,7 @@
    */
   private static final Duration BALANCER_LAG = Duration.ofMillis(2500);
 
-  /** Part of the shutdown limit that is reserved for closing all components. */
+  /** Part of the shutdown limit that is reserved to answer what is left and to close. */
   private static final Duration CLOSE_RESERVE = Duration.ofMillis(600);
 
   private final GatewaySettings settings;
@@ -214,8 +214,11 @@
     relay.closeIdleConnections();
     Duration spent = Duration.ofNanos(System.nanoTime() - begin);
     boolean all = relay.finishRequests(settings.shutdownLimit().minus(spent).minus(CLOSE_RESERVE));
+    if (!all) {
+      relay.endRequests(CLOSE_RESERVE.dividedBy(2));
+    }
     log.event("stopped")
-        .with("requests", all ? "all answered" : "some cut off at the time limit")
+        .with("requests", all ? "all answered" : "some ended at the time limit")
         .write();
     close();
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -24,6 +26,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.OptionalInt;
 import java.util.Queue;
@@ -44,6 +47,12 @@
   /** Messages of further requests that are queued before reading is paused. */
   private static final int MAX_QUEUED_MESSAGES = 64;
 
+  /**
+   * A caller that takes nothing of its answer for so long counts as gone. Socket buffers hide slow
+   * reading for seconds.
+   */
+  private static final long MAX_WRITE_STALL_NANOS = Duration.ofSeconds(20).toNanos();
+
   private final CallerConnectionDependencies shared;
   private final Queue<HttpObject> queued = new ArrayDeque<>();
   private ChannelHandlerContext context;
@@ -54,6 +63,13 @@
   private boolean malformed;
   private long arrivedNanos;
   private Exchange exchange;
+  private boolean inFlight;
+
+  /** Bytes of answers that the caller had not taken when the connection was last idle. */
+  private long unwrittenBytes;
+
+  private long lastTakenNanos;
+
   private boolean answerPending;
   private boolean keepAlive = true;
   private boolean closing;
@@ -85,6 +101,10 @@
     if (exchange != null) {
       exchange.onCallerDisconnected();
     }
+    if (inFlight) {
+      inFlight = false;
+      shared.inFlight().end();
+    }
   }
 
   @Override
@@ -134,6 +154,7 @@
 
   private void onHead(HttpRequest request) {
     head = request;
+    inFlight = shared.inFlight().tryBegin();
     attemptsElsewhere = Forwarding.takeAttempts(request.headers());
     arrivedNanos = shared.exchangeDependencies().ticker().read();
     keepAlive = HttpUtil.isKeepAlive(request);
@@ -179,7 +200,7 @@
     }
     Either<Refusal, AdmissionCheck.Admission> admission =
         checkAdmission(completeHead, tooLarge)
-            .filterOrElse(a -> shared.inFlight().tryBegin(), a -> shuttingDown());
+            .filterOrElse(a -> inFlight, a -> ExchangeRefusals.entryStopping());
     if (admission.isLeft()) {
       completeBody.release();
       logRefusal(completeHead, admission.getLeft());
@@ -219,14 +240,8 @@
         .admission()
         .check(host, request.uri(), caller)
         .filterOrElse(
-            admission -> shared.shutdown().admits(admission.route()), admission -> shuttingDown());
-  }
-
-  private static Refusal shuttingDown() {
-    return Refusal.notRun(
-        RefusalCode.SHUTTING_DOWN,
-        "this entry is shutting down and may not finish the request in time",
-        RetryAfterDelays.SHUTTING_DOWN);
+            admission -> shared.shutdown().admits(admission.route()),
+            admission -> ExchangeRefusals.entryStopping());
   }
 
   private void logRefusal(HttpRequest request, Refusal refusal) {
@@ -249,7 +264,6 @@
 
   private void onExchangeDone() {
     exchange = null;
-    shared.inFlight().end();
   }
 
   @Override
@@ -260,8 +274,7 @@
     response.headers().set(headers);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
     setConnection(response.headers());
-    context.writeAndFlush(response);
-    onAnswerEnded();
+    onAnswerEnded(context.writeAndFlush(response));
   }
 
   @Override
@@ -289,8 +302,7 @@
 
   @Override
   public void finish() {
-    context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-    onAnswerEnded();
+    onAnswerEnded(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
   }
 
   @Override
@@ -299,17 +311,27 @@
     context.close();
   }
 
-  private void onAnswerEnded() {
+  /** The request stays in flight until the caller's socket has taken the whole answer. */
+  private void onAnswerEnded(ChannelFuture written) {
+    if (inFlight) {
+      inFlight = false;
+      written.addListener(f -> shared.inFlight().end());
+    }
     if (!keepAlive) {
-      closing = true;
-      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      closeOnceWritten();
       return;
     }
     answerPending = false;
+    unwrittenBytes = Long.MAX_VALUE;
     startIdleTimer(limits().idleTimeout().toMillis());
     context.executor().execute(this::handleQueued);
   }
 
+  private void closeOnceWritten() {
+    closing = true;
+    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
   private void handleQueued() {
     while (!answerPending && !closing && !queued.isEmpty()) {
       handle(queued.poll());
@@ -334,8 +356,20 @@
   /** Closes the connection unless a request is being received or served. */
   void closeIfIdle() {
     if (!answerPending && head == null) {
-      closing = true;
-      context.close();
+      closeOnceWritten();
+    }
+  }
+
+  /** Answers a request that is being received or served, because this entry stops. */
+  void endRequest() {
+    if (exchange != null) {
+      exchange.onEntryStopping();
+    } else if (head != null && !closing) {
+      head = null;
+      keepAlive = false;
+      answerPending = true;
+      body.release();
+      RefusalWriter.write(this, ExchangeRefusals.entryStopping());
     }
   }
 
@@ -356,9 +390,31 @@
   }
 
   private void onIdle() {
-    if (!answerPending) {
-      closing = true;
-      context.close();
+    if (answerPending) {
+      return;
+    }
+    if (isTakingAnswer()) {
+      startIdleTimer(limits().idleTimeout().toMillis());
+      return;
     }
+    closing = true;
+    context.close();
+  }
+
+  /** Returns whether the caller has still to read, and has done so within the limit. */
+  private boolean isTakingAnswer() {
+    long now = shared.exchangeDependencies().ticker().read();
+    long unwritten = countUnwrittenBytes();
+    if (unwritten < unwrittenBytes) {
+      unwrittenBytes = unwritten;
+      lastTakenNanos = now;
+    }
+    return unwritten > 0 && now - lastTakenNanos < MAX_WRITE_STALL_NANOS;
+  }
+
+  /** Returns how much of the last answers the caller's socket has not taken yet. */
+  private long countUnwrittenBytes() {
+    ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
@@ -72,6 +72,13 @@
     }
   }
 
+  /** Answers all requests that are being received or served. Traffic thread only. */
+  void endRequests() {
+    if (shared != null) {
+      List.copyOf(shared.connections()).forEach(CallerConnection::endRequest);
+    }
+  }
+
   @Override
   public void close() {
     channel.close().syncUninterruptibly();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -383,6 +383,15 @@
     return inFlight.closeWhenNone(limit);
   }
 
+  /**
+   * Answers the requests that are left, as not run where that is proven, and waits until their
+   * callers have been sent the answers, or the limit is over.
+   */
+  public void endRequests(Duration limit) throws InterruptedException {
+    eventLoop.execute(callerServer::endRequests);
+    var unused = inFlight.awaitNone(limit);
+  }
+
   @Override
   public void close() {
     closer.close();
