Read requests and answers only where all readers agree

What callers could see: a request that this entry takes for one could be two for a backend server, or one with another target, id or end; an answer's status or coding was passed on that no reader agrees on.

Cause: the library's decoder is lenient and its leniency can't be seen in the message that it makes: white space before a colon, chunk sizes followed by anything, single LF, folded lines.

Change: package internal.framing. FramingScanner follows the bytes of each connection ahead of the decoder and stops at the first line that two readers may take in different ways; RequestFraming and AnswerFraming decide by the head. They stand in front of the ports of callers, of entries that forward, of readiness and metrics, and of the answers of backend servers, entries and the store. Fragments, backslashes and dot segments, also encoded, get 400, as a server that resolves them would run another path than the one whose route and permission were checked. - A Connection header can't name away what says which request this is. - identity as a coding is refused: RFC 9112 doesn't know it any more. The check for two heads in one moves from the decoded message to the lines.

Processor time: not measured yet.

--- a/guavagw-core/src/main/java/org/guavagw/RefusalCode.java
+++ b/guavagw-core/src/main/java/org/guavagw/RefusalCode.java
@@ -5,6 +5,8 @@
   UNAUTHENTICATED(401, "invalid_api_key"),
   MALFORMED_REQUEST(400, "malformed_request"),
   REQUEST_TOO_LARGE(413, "request_too_large"),
+  VERSION_NOT_SUPPORTED(505, "http_version_not_supported"),
+  EXPECTATION_FAILED(417, "expectation_failed"),
   MODEL_NOT_ALLOWED(403, "model_not_allowed"),
   MODEL_UNKNOWN(404, "model_not_found"),
   SERVICE_UNKNOWN(404, "service_not_found"),
--- a/guavagw-core/src/main/java/org/guavagw/internal/errors/RefusalMessages.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/errors/RefusalMessages.java
@@ -35,6 +35,8 @@
       case UNAUTHENTICATED -> "Send your team's key as a bearer token.";
       case MALFORMED_REQUEST -> "Correct the request and send it again.";
       case REQUEST_TOO_LARGE -> "Send a smaller request.";
+      case VERSION_NOT_SUPPORTED -> "Send the request with HTTP/1.1.";
+      case EXPECTATION_FAILED -> "Send the request without Expect, or with 100-continue.";
       case MODEL_NOT_ALLOWED -> "Ask an operator to allow the model for your team.";
       case MODEL_UNKNOWN -> "GET /v1/models lists what your team may use.";
       case SERVICE_UNKNOWN -> "Ask an operator which services your team may call.";
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/AnswerDecoder.java
@@ -0,0 +1,100 @@
+package org.guavagw.gateway.internal.framing;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Decodes the answers on one connection, as strictly as {@link AnswerFraming} says, and knows of
+ * bytes that belong to none.
+ *
+ * <p>Invariants: bytes that arrive while no request is pending are never decoded, so that they
+ * can't join the next answer; an answer whose end is not certain is followed by a content with a
+ * failed decoder result. Confined to the event loop of its connection.
+ */
+public final class AnswerDecoder extends HttpResponseDecoder {
+  private static final AnswerFraming TO_HEAD = new AnswerFraming(true);
+  private static final AnswerFraming TO_OTHERS = new AnswerFraming(false);
+
+  private final Runnable onUnexpectedBytes;
+  private final FramingScanner scanner = new FramingScanner(TO_OTHERS);
+  private boolean requestPending;
+  private boolean headRequest;
+  private boolean surplusBytes;
+
+  /**
+   * Creates a decoder that expects no answer yet.
+   *
+   * @param onUnexpectedBytes runs when bytes arrive while no request is pending
+   */
+  public AnswerDecoder(HttpDecoderConfig config, Runnable onUnexpectedBytes) {
+    super(config);
+    this.onUnexpectedBytes = onUnexpectedBytes;
+  }
+
+  /** Records that a request is sent, whose answer comes next. */
+  public void onRequest(HttpMethod method) {
+    requestPending = true;
+    headRequest = method.equals(HttpMethod.HEAD);
+    scanner.expect(rules());
+  }
+
+  /** Records that the answer is complete; returns whether no further bytes have arrived. */
+  public boolean onAnswerComplete() {
+    requestPending = false;
+    return !surplusBytes && actualReadableBytes() == 0;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+    if (!requestPending || !(message instanceof ByteBuf bytes)) {
+      ReferenceCountUtil.release(message);
+      onUnexpectedBytes.run();
+      return;
+    }
+    try {
+      decodeAnswers(ctx, bytes);
+    } finally {
+      bytes.release();
+    }
+  }
+
+  /** Decodes answers until the one that is pending is complete. */
+  private void decodeAnswers(ChannelHandlerContext ctx, ByteBuf bytes) throws Exception {
+    while (requestPending && bytes.isReadable()) {
+      if (scanner.isComplete()) {
+        scanner.expect(rules());
+      }
+      int taken = scanner.take(bytes, bytes.readerIndex()) - bytes.readerIndex();
+      if (scanner.fault().isPresent()) {
+        ctx.fireChannelRead(failed(scanner.fault().get()));
+        return;
+      }
+      surplusBytes = taken < bytes.readableBytes();
+      super.channelRead(ctx, bytes.readRetainedSlice(taken));
+    }
+  }
+
+  private AnswerFraming rules() {
+    return headRequest ? TO_HEAD : TO_OTHERS;
+  }
+
+  private static HttpContent failed(FramingFault fault) {
+    HttpContent content = new DefaultHttpContent(Unpooled.EMPTY_BUFFER);
+    content.setDecoderResult(DecoderResult.failure(new FramingException(fault)));
+    return content;
+  }
+
+  @Override
+  protected boolean isContentAlwaysEmpty(HttpMessage message) {
+    return headRequest || super.isContentAlwaysEmpty(message);
+  }
+}
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
@@ -0,0 +1,216 @@
+package org.guavagw.gateway.internal.framing;
+
+import io.netty.buffer.ByteBuf;
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Follows the bytes of the messages on one connection and stops at the first that readers could
+ * take in different ways: line ends other than CR LF, folded lines, control characters, an
+ * uncertain end, chunk sizes with anything but digits.
+ *
+ * <p>Invariant: bytes that it has accepted are whole messages in order, and the beginning of one
+ * more. Not thread-safe.
+ */
+final class FramingScanner {
+  /** A longer line is too large for the decoder behind, whatever its limit. */
+  private static final int MAX_LINE_BYTES = 128 * 1024;
+
+  private static final int MAX_CHUNK_SIZE_DIGITS = 15;
+
+  private HeadRules rules;
+  private State state = State.START_LINE;
+  private FieldLines fields = new FieldLines();
+  private byte[] line = new byte[512];
+  private int lineLength;
+  private int blankLines;
+  private long bodyLeft;
+  private FramingFault fault;
+
+  /** What the next byte belongs to. */
+  private enum State {
+    START_LINE(true),
+    HEADER_LINE(true),
+    BODY(false),
+    CHUNK_SIZE_LINE(true),
+    CHUNK(false),
+    CHUNK_END_LINE(true),
+    TRAILER_LINE(true),
+    UNTIL_CLOSE(false),
+    COMPLETE(false);
+
+    private final boolean line;
+
+    State(boolean line) {
+      this.line = line;
+    }
+
+    boolean isLine() {
+      return line;
+    }
+  }
+
+  FramingScanner(HeadRules rules) {
+    this.rules = rules;
+  }
+
+  /** Expects the next message; requires that the one before is complete or that none has begun. */
+  void expect(HeadRules nextRules) {
+    rules = nextRules;
+    state = State.START_LINE;
+    blankLines = 0;
+  }
+
+  /** Returns whether a message is complete and the next one is not expected yet. */
+  boolean isComplete() {
+    return state == State.COMPLETE;
+  }
+
+  /** Returns what is wrong with the byte at which the scanner has stopped, if it has. */
+  Optional<FramingFault> fault() {
+    return Optional.ofNullable(fault);
+  }
+
+  /**
+   * Takes bytes up to the end of a message.
+   *
+   * @return the index after the last byte that was taken
+   */
+  int take(ByteBuf bytes, int from) {
+    int index = from;
+    int end = bytes.writerIndex();
+    while (index < end && fault == null && state != State.COMPLETE) {
+      index = state.isLine() ? takeLine(bytes, index, end) : takeBody(index, end);
+    }
+    return index;
+  }
+
+  private int takeBody(int index, int end) {
+    if (state == State.UNTIL_CLOSE) {
+      return end;
+    }
+    long taken = Math.min(bodyLeft, end - index);
+    bodyLeft -= taken;
+    if (bodyLeft == 0) {
+      state = state == State.CHUNK ? State.CHUNK_END_LINE : State.COMPLETE;
+    }
+    return index + (int) taken;
+  }
+
+  private int takeLine(ByteBuf bytes, int index, int end) {
+    int newline = bytes.indexOf(index, end, (byte) '\n');
+    int lineEnd = newline < 0 ? end : newline + 1;
+    append(bytes, index, lineEnd - index);
+    if (newline >= 0 && fault == null) {
+      onLine();
+    }
+    return lineEnd;
+  }
+
+  private void append(ByteBuf bytes, int index, int count) {
+    int needed = lineLength + count;
+    if (needed > MAX_LINE_BYTES) {
+      fail("a line is too long");
+      return;
+    }
+    if (needed > line.length) {
+      line = Arrays.copyOf(line, Math.max(needed, 2 * line.length));
+    }
+    bytes.getBytes(index, line, lineLength, count);
+    lineLength = needed;
+  }
+
+  private void onLine() {
+    int length = lineLength - 2;
+    lineLength = 0;
+    if (length < 0 || line[length] != '\r') {
+      fail("a line does not end with CR LF");
+      return;
+    }
+    for (int i = 0; i < length; i++) {
+      if (line[i] == '\r') {
+        fail("a line has a CR in it");
+        return;
+      }
+    }
+    switch (state) {
+      case START_LINE -> onStartLine(length);
+      case HEADER_LINE -> onHeaderLine(length);
+      case CHUNK_SIZE_LINE -> onChunkSize(length);
+      case CHUNK_END_LINE -> onChunkEnd(length);
+      case TRAILER_LINE -> onTrailer(length);
+      default -> throw new IllegalStateException("no line in state " + state);
+    }
+  }
+
+  private void onStartLine(int length) {
+    if (length == 0) {
+      blankLines++;
+      if (blankLines > rules.maxBlankLines()) {
+        fail("blank lines before the start line");
+      }
+      return;
+    }
+    fields = new FieldLines();
+    fields.start(line, length).ifPresent(this::fail);
+    state = State.HEADER_LINE;
+  }
+
+  private void onHeaderLine(int length) {
+    if (length > 0) {
+      fields.add(line, length).ifPresent(this::fail);
+      return;
+    }
+    rules.read(fields.toHead()).peek(this::onBody).peekLeft(f -> fault = f);
+  }
+
+  private void onBody(BodyEnd end) {
+    bodyLeft = end.length();
+    state =
+        switch (end.kind()) {
+          case LENGTH -> bodyLeft == 0 ? State.COMPLETE : State.BODY;
+          case CHUNKS -> State.CHUNK_SIZE_LINE;
+          case CONNECTION -> State.UNTIL_CLOSE;
+          case INTERIM -> State.START_LINE;
+        };
+  }
+
+  private void onChunkSize(int length) {
+    int digits = 0;
+    long size = 0;
+    while (digits < length && Character.digit(line[digits], 16) >= 0) {
+      size = size * 16 + Character.digit(line[digits], 16);
+      digits++;
+      if (digits > MAX_CHUNK_SIZE_DIGITS) {
+        fail("a chunk is too large");
+        return;
+      }
+    }
+    if (digits == 0 || (digits < length && line[digits] != ';')) {
+      fail("the size of a chunk is not valid");
+      return;
+    }
+    bodyLeft = size;
+    state = size == 0 ? State.TRAILER_LINE : State.CHUNK;
+  }
+
+  private void onChunkEnd(int length) {
+    if (length > 0) {
+      fail("a chunk is longer than its size");
+      return;
+    }
+    state = State.CHUNK_SIZE_LINE;
+  }
+
+  private void onTrailer(int length) {
+    if (length == 0) {
+      state = State.COMPLETE;
+      return;
+    }
+    new FieldLines().add(line, length).ifPresent(this::fail);
+  }
+
+  private void fail(String reason) {
+    fault = FramingFault.malformed(reason);
+  }
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/HopByHopHeaders.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/HopByHopHeaders.java
@@ -1,4 +1,4 @@
-package org.guavagw.gateway.internal.relay;
+package org.guavagw.gateway.internal.framing;
 
 import com.google.common.base.Splitter;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Removes headers that apply to a single connection: the hop-by-hop headers as well as
@@ -31,8 +32,13 @@
 
   private HopByHopHeaders() {}
 
-  /** Returns a copy without these headers, which include those that the Connection header names. */
-  public static HttpHeaders strip(HttpHeaders headers) {
+  /**
+   * Returns a copy without these headers, which include those that the Connection header names.
+   *
+   * @param endToEnd names in lower case that the Connection header can't name, as the message would
+   *     be another one without them
+   */
+  public static HttpHeaders strip(HttpHeaders headers, Set<String> endToEnd) {
     HttpHeaders copy =
         DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders();
     for (Map.Entry<String, String> header : headers) {
@@ -40,7 +46,9 @@
     }
     for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
       for (String name : NAMES.split(value.toLowerCase(Locale.ROOT))) {
-        copy.remove(name);
+        if (!endToEnd.contains(name)) {
+          copy.remove(name);
+        }
       }
     }
     HOP_BY_HOP.forEach(copy::remove);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -20,6 +20,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
+import org.guavagw.gateway.internal.framing.AnswerDecoder;
 import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.RelayFormat;
 
@@ -165,7 +166,7 @@
     }
     AnswerHead answer = format.answer(head);
     boolean unnamed = answer.requestId().isEmpty() && !expectedId.isEmpty();
-    if (AnswerDecoder.isJoined(head) || (unnamed && answersNamed && reused)) {
+    if (unnamed && answersNamed && reused) {
       fail(AttemptFailure.UNUSABLE);
       return;
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -33,6 +33,8 @@
 import java.util.concurrent.TimeUnit;
 import org.guavagw.Refusal;
 import org.guavagw.RefusalCode;
+import org.guavagw.gateway.internal.framing.FramingException;
+import org.guavagw.gateway.internal.framing.RequestTarget;
 import org.guavagw.gateway.model.CallerLimits;
 import org.guavagw.gateway.spi.CallerRequest;
 
@@ -143,24 +145,31 @@
   private void onMalformed(Throwable cause) {
     keepAlive = false;
     answerPending = true;
-    boolean headTooLarge = cause instanceof TooLongFrameException;
     Refusal refusal =
-        Refusal.notRun(
-            headTooLarge ? RefusalCode.REQUEST_TOO_LARGE : RefusalCode.MALFORMED_REQUEST,
-            "the request cannot be read: " + cause.getMessage());
+        Refusal.notRun(refusalCode(cause), "the request cannot be read: " + cause.getMessage());
     shared.log().event("request_malformed").with("reason", String.valueOf(cause)).write();
     RefusalWriter.write(this, refusal);
   }
 
+  private static RefusalCode refusalCode(Throwable cause) {
+    if (cause instanceof FramingException framing) {
+      return framing.fault().code();
+    }
+    return cause instanceof TooLongFrameException
+        ? RefusalCode.REQUEST_TOO_LARGE
+        : RefusalCode.MALFORMED_REQUEST;
+  }
+
   private void onHead(HttpRequest request) {
     head = request;
+    RequestTarget.toOriginForm(request);
     inFlight = shared.inFlight().tryBegin();
     attemptsElsewhere = Forwarding.takeAttempts(request.headers());
     arrivedNanos = shared.exchangeDependencies().ticker().read();
     keepAlive = HttpUtil.isKeepAlive(request);
     startIdleTimer(limits().headerTimeout().toMillis());
     Either<String, CallerRequest> decoded = shared.exchangeDependencies().format().decode(request);
-    malformed = decoded.isLeft() || !RequestFraming.isCertain(request);
+    malformed = decoded.isLeft();
     caller = decoded.getOrNull();
     if (HttpUtil.is100ContinueExpected(request) && !malformed) {
       context.writeAndFlush(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import org.guavagw.gateway.CallerSocket;
+import org.guavagw.gateway.internal.framing.RequestCheck;
 
 /** Accepts connections of callers once it has been opened. Thread-safe. */
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -38,6 +39,7 @@
                     int maxHeaderBytes = shared.limits().get().maxHeaderBytes();
                     accepted
                         .pipeline()
+                        .addLast(new RequestCheck())
                         .addLast(
                             new HttpServerCodec(
                                 MAX_INITIAL_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/MonitoringServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/MonitoringServer.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -17,6 +19,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.function.Function;
+import org.guavagw.gateway.internal.framing.RequestCheck;
 
 /** Serves the readiness and the metrics of this process over HTTP. Thread-safe. */
 @SuppressWarnings("FutureReturnValueIgnored")
@@ -41,6 +44,7 @@
                   protected void initChannel(Channel accepted) {
                     accepted
                         .pipeline()
+                        .addLast(new RequestCheck())
                         .addLast(new HttpServerCodec())
                         .addLast(new HttpObjectAggregator(MAX_REQUEST_BYTES))
                         .addLast(new Handler(answers));
@@ -74,14 +78,19 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-      TextAnswer answer = answers.apply(request.uri());
+      boolean unreadable = request.decoderResult().isFailure();
+      TextAnswer answer =
+          unreadable ? new TextAnswer(400, "unreadable\n") : answers.apply(request.uri());
       ByteBuf text = ByteBufUtil.writeUtf8(ctx.alloc(), answer.text());
       FullHttpResponse response =
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status()), text);
       response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
-      ctx.writeAndFlush(response);
+      ChannelFuture written = ctx.writeAndFlush(response);
+      if (unreadable) {
+        written.addListener(ChannelFutureListener.CLOSE);
+      }
     }
 
     @Override
