Accept no key at the start before others were asked for a newer configuration

Cause: the entry was ready once it had a configuration and one check of the orders by the store. It asked others for a newer one, but didn't wait, asked once, and chose two entries by name from a list that keeps those that are gone.

Change: StartConfirmation holds the checks back, and with them readiness and keys, until the entries that live have answered, or no other one is registered, or 1.5 s after the first check. What entries send each other is unchanged.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -182,7 +182,9 @@
   /** Starts replicating the tables. */
   public void start() {
     control.execute(hubFollower::start);
-    memberTable.whenKnown().thenRunAsync(configExchange::ask, control);
+    state
+        .start()
+        .awaitOthers(memberTable.othersRegistered(), memberTable.whenKnown(), configExchange::ask);
   }
 
   /** Returns how often the store was restored from a copy since this process started. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -42,6 +42,7 @@
   private long storedConfigVersion = Long.MIN_VALUE;
   private RouteTable routes = new RouteTable(List.of());
   private final LapseExpectation lapses;
+  private final StartConfirmation start;
   private boolean backendsKnown;
 
   /** Creates an empty state. */
@@ -58,6 +59,19 @@
     this.clocks = clocks;
     this.backends = new RegisteredBackends(log);
     this.lapses = new LapseExpectation(clocks.monotonic());
+    this.start = new StartConfirmation(this::recordCheck, control, clocks.monotonic(), log);
+  }
+
+  /** Returns what holds checks back until this entry knows that its configuration is current. */
+  StartConfirmation start() {
+    return start;
+  }
+
+  private void recordCheck(ClockReading at) {
+    // An older configuration in a restored store does not prove that keys are current.
+    if (storedConfigVersion >= configVersion()) {
+      currentView.recordOrdersCheck(at);
+    }
   }
 
   TableListener ordersListener() {
@@ -91,10 +105,7 @@
 
       @Override
       public void onChecked(ClockReading at) {
-        // An older configuration in a restored store does not prove that keys are current.
-        if (storedConfigVersion >= configVersion()) {
-          currentView.recordOrdersCheck(at);
-        }
+        start.onChecked(at);
       }
     };
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberTable.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberTable.java
@@ -36,6 +36,7 @@
   private final Map<String, Member> membersByName = new HashMap<>();
   private volatile Members members;
   private final CompletableFuture<Void> whenKnown = new CompletableFuture<>();
+  private final CompletableFuture<Boolean> othersRegistered = new CompletableFuture<>();
   private boolean registering;
   private long ownVersion;
 
@@ -83,6 +84,8 @@
   @Override
   public void onChanges(List<StoredRow> rows, long nowNanos) {
     rows.stream().filter(r -> !SuspectTable.holdsSuspects(r)).forEach(this::applyRow);
+    othersRegistered.complete(
+        membersByName.keySet().stream().anyMatch(n -> !n.equals(self.name())));
     if (self.equals(membersByName.get(self.name()))) {
       publish();
     } else if (!registering) {
@@ -115,6 +118,11 @@
     return whenKnown;
   }
 
+  /** Returns a future of whether another entry was registered when this one first looked. */
+  CompletableFuture<Boolean> othersRegistered() {
+    return othersRegistered;
+  }
+
   private void register() {
     registering = true;
     store
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/RestoredStoreTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/RestoredStoreTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.logging.EventLog;
@@ -37,6 +38,13 @@
   @BeforeEach
   void start() {
     control.freezeTime();
+    state
+        .start()
+        .awaitOthers(
+            CompletableFuture.completedFuture(false),
+            new CompletableFuture<>(),
+            CompletableFuture::new);
+    control.runPendingTasks();
     orders().onSnapshot(List.of(row("config", "config 2", 2)), clock.read());
     backends().onSnapshot(List.of(row("w1", "ready", 3), row("w2", "ready", 4)), clock.read());
     status().onSnapshot(List.of(), clock.read());
