Forward requests to entries that report that they reach the service

Cause: a request is forwarded to three entries at most, those of the own data centre first, whichever they are; entries that refused were avoided for half a second only, so that each request tried the same ones again.

Where nothing is reported yet, the second try leaves the data centre of the first, so that the first request after a cut is served as well.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
@@ -37,7 +37,8 @@
           new PeerMessageType<>("replica-answer", ReplicaAnswer.class),
           new PeerMessageType<>("config-query", ConfigQuery.class),
           new PeerMessageType<>("config-answer", ConfigAnswer.class),
-          new PeerMessageType<>("sessions", SessionReport.class));
+          new PeerMessageType<>("sessions", SessionReport.class),
+          new PeerMessageType<>("reach", ReachReport.class));
 
   private final PeerAddresses addresses = new PeerAddresses();
   private final PeerNetwork network;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectivity.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectivity.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.model.BackendServer;
 
@@ -64,6 +65,11 @@
     return state != null && state.cutOff && !serversOf.apply(service).isEmpty();
   }
 
+  /** Returns the services of which no backend server can be reached from here. */
+  Set<String> cutOffServices() {
+    return services.keySet().stream().filter(this::isCutOff).collect(Collectors.toSet());
+  }
+
   @Override
   public List<BackendServer> othersThan(BackendServer server) {
     List<BackendServer> others =
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
@@ -4,9 +4,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.guavagw.gateway.CallerSocket;
 import org.guavagw.gateway.internal.peers.Members;
+import org.guavagw.gateway.internal.peers.PeerMessenger;
+import org.guavagw.gateway.internal.peers.ReachReport;
 import org.guavagw.gateway.spi.RelayFormat;
 import org.guavagw.internal.lifecycle.Closer;
 
@@ -18,6 +21,8 @@
   private final Transport transport;
   private final BackendConnectionPool pool;
   private final PeerSelector selector;
+  private final PeerReach reach;
+  private final Ticker ticker;
   private final Closer closer = new Closer();
 
   EntryForwarding(
@@ -25,9 +30,15 @@
       RelayFormat format,
       PendingReadBarrier readBarrier,
       Supplier<Members> members,
+      PeerMessenger peers,
       Ticker ticker) {
     this.transport = transport;
-    this.selector = new PeerSelector(members);
+    this.ticker = ticker;
+    this.reach = new PeerReach(peers::sendToAll);
+    this.selector = new PeerSelector(members, reach);
+    peers.onMessage(
+        ReachReport.class,
+        (from, report) -> reach.onReport(from.memberId(), report, ticker.read()));
     this.pool =
         closer.register(
             new BackendConnectionPool(
@@ -43,6 +54,17 @@
     return selector;
   }
 
+  /** Reports to other entries which services can't be reached from here, if there is news. */
+  void report(Set<String> unreachableServices) {
+    reach.report(unreachableServices, ticker.read());
+  }
+
+  /** Forgets what no longer counts of other entries. */
+  void expire() {
+    selector.expire(ticker.read());
+    reach.expire(ticker.read());
+  }
+
   /** Starts to accept requests that other entries forward. */
   void accept(InetSocketAddress peerAddress, CallerConnectionDependencies dependencies) {
     CallerSocket socket = listen(Forwarding.address(peerAddress));
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -91,7 +91,10 @@
     long now = shared.ticker().read();
     Optional<Member> entry =
         triedEntries.size() < MAX_ENTRIES
-            ? shared.forwarding().selector().select(request.caller().id(), triedEntries, now)
+            ? shared
+                .forwarding()
+                .selector()
+                .select(request.caller().id(), state.service(), triedEntries, now)
             : Optional.empty();
     if (entry.isEmpty()) {
       refuse(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/PeerSelector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/PeerSelector.java
@@ -9,22 +9,29 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
 
 /**
- * Selects the entry that a request is forwarded to: one of this data centre if possible, by the id
- * of the request, so that all of them share the load. Traffic thread only.
+ * Selects the entry that a request is forwarded to: one that reaches the service as far as it has
+ * reported, of this data centre if possible, by the id of the request, so that all of them share
+ * the load.
+ *
+ * <p>Entries of a data centre are often cut off together, so once one has been tried in vain, those
+ * of other data centres come first. Traffic thread only.
  */
 final class PeerSelector {
   /** How long an entry is avoided that could not be reached or serve a request. */
   static final Duration AVOIDANCE = Duration.ofMillis(500);
 
   private final Supplier<Members> members;
+  private final PeerReach reach;
   private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
 
-  PeerSelector(Supplier<Members> members) {
+  PeerSelector(Supplier<Members> members, PeerReach reach) {
     this.members = members;
+    this.reach = reach;
   }
 
   /**
@@ -32,13 +39,20 @@
    *
    * @param tried names of entries that the request was forwarded to before
    */
-  Optional<Member> select(String requestId, Set<String> tried, long nowNanos) {
+  Optional<Member> select(String requestId, String service, Set<String> tried, long nowNanos) {
     Members known = members.get();
+    Set<String> triedDataCentres =
+        known.others().stream()
+            .filter(m -> tried.contains(m.name()))
+            .map(Member::dataCentre)
+            .collect(Collectors.toSet());
     return known.others().stream()
         .filter(m -> !tried.contains(m.name()))
         .filter(m -> !isAvoided(m.name(), nowNanos))
+        .filter(m -> !reach.isCutOff(m.name(), service, nowNanos))
         .min(
-            Comparator.comparing((Member m) -> !m.dataCentre().equals(known.localDataCentre()))
+            Comparator.comparing((Member m) -> triedDataCentres.contains(m.dataCentre()))
+                .thenComparing(m -> !m.dataCentre().equals(known.localDataCentre()))
                 .thenComparing(m -> score(m, requestId)));
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -127,12 +127,13 @@
         closer.register(
             new BackendConnectionPool(transport, format, readBarrier, connectivity, true, ticker));
     this.forwarding =
-        closer.register(new EntryForwarding(transport, format, readBarrier, members, ticker));
+        closer.register(
+            new EntryForwarding(transport, format, readBarrier, members, peers, ticker));
     this.availability = newAvailability(log);
     this.workReportSender =
         new WorkReportSender(loads, members, hubSelector, this::noticesToTell, peers::send);
     ColdStartLimiter coldStartLimiter = new ColdStartLimiter(this::coldRequestsPerSecond);
-    VersionSelector versions =
+    var versions =
         new VersionSelector(settings.sessionTimeout(), settings.exposureLimit(), rollouts);
     BackendSelector selector = newSelector(versions, coldStartLimiter, settings.dataCentre());
     Map<String, RetryBudget> retryBudgets = new HashMap<>();
@@ -163,15 +164,13 @@
             log,
             metrics,
             members);
-    Set<CallerConnection> connections = ConcurrentHashMap.newKeySet();
     this.callerServer = callerServer;
-    CallerConnectionDependencies connectionDependencies =
-        newConnectionDependencies(exchangeDependencies, connections, readBarrier);
+    var connectionDependencies = newConnectionDependencies(exchangeDependencies, readBarrier);
     openWhenReady(connectionDependencies);
     forwarding.accept(settings.peerAddress(), connectionDependencies);
     runPeriodicTasks(lag);
     exchangeReports(peers, versions, log, metrics);
-    serveGauges(metrics, lag, connections);
+    serveGauges(metrics, lag, connectionDependencies.connections());
   }
 
   private void serveGauges(
@@ -228,6 +227,7 @@
   private void tick(EventLoopLag lag) {
     lag.tick(ticker.read());
     connectivity.tick();
+    forwarding.report(connectivity.cutOffServices());
     sendWorkReports();
     checks.run();
   }
@@ -299,14 +299,12 @@
   }
 
   private CallerConnectionDependencies newConnectionDependencies(
-      ExchangeDependencies dependencies,
-      Set<CallerConnection> connections,
-      PendingReadBarrier readBarrier) {
+      ExchangeDependencies dependencies, PendingReadBarrier readBarrier) {
     return new CallerConnectionDependencies(
         dependencies,
         false,
         this::callerLimits,
-        connections,
+        ConcurrentHashMap.newKeySet(),
         readBarrier,
         shutdown,
         inFlight,
@@ -354,7 +352,7 @@
     crashGuard.retain(incarnations);
     suspects.save(crashGuard.quarantine().ownSuspects());
     connectivity.retain(incarnations);
-    forwarding.selector().expire(ticker.read());
+    forwarding.expire();
   }
 
   /** Returns the address that callers connect to. */
