Admit nothing once the rest of a stop is being answered

GracefulShutdown ends admission at that moment (GracefulShutdownTest). A refused answer is passed on as a whole answer with a failed result, so that a call to the store fails at once instead of at its time-out.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/AnswerDecoder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/AnswerDecoder.java
@@ -1,15 +1,16 @@
 package org.guavagw.gateway.internal.framing;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 
 /**
@@ -17,8 +18,8 @@
  * bytes that belong to none.
  *
  * <p>Invariants: bytes that arrive while no request is pending are never decoded, so that they
- * can't join the next answer; an answer whose end is not certain is followed by a content with a
- * failed decoder result. Confined to the event loop of its connection.
+ * can't join the next answer; in place of the rest of an answer whose end is not certain comes an
+ * answer with a failed decoder result. Confined to the event loop of its connection.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
   private static final AnswerFraming TO_HEAD = new AnswerFraming(true);
@@ -87,10 +88,11 @@
     return headRequest ? TO_HEAD : TO_OTHERS;
   }
 
-  private static HttpContent failed(FramingFault fault) {
-    HttpContent content = new DefaultHttpContent(Unpooled.EMPTY_BUFFER);
-    content.setDecoderResult(DecoderResult.failure(new FramingException(fault)));
-    return content;
+  private static FullHttpResponse failed(FramingFault fault) {
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
+    answer.setDecoderResult(DecoderResult.failure(new FramingException(fault)));
+    return answer;
   }
 
   @Override
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/GracefulShutdown.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/GracefulShutdown.java
@@ -16,6 +16,7 @@
 
   private final Ticker ticker;
   private volatile boolean begun;
+  private volatile boolean ended;
   private volatile long beginNanos;
   private volatile long limitNanos;
 
@@ -30,12 +31,20 @@
     begun = true;
   }
 
+  /** Admits nothing from now on, not even requests that waited to be served. */
+  void end() {
+    ended = true;
+  }
+
   boolean begun() {
     return begun;
   }
 
   /** Returns whether a request of a route that arrives now is admitted. */
   boolean admits(Route route) {
+    if (ended) {
+      return false;
+    }
     if (!begun) {
       return true;
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -386,6 +386,7 @@
    * callers have been sent the answers, or the limit is over.
    */
   public void endRequests(Duration limit) throws InterruptedException {
+    shutdown.end();
     eventLoop.execute(callerServer::endRequests);
     var unused = inFlight.awaitNone(limit);
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/GracefulShutdownTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/GracefulShutdownTest.java
@@ -42,4 +42,12 @@
     clock.advance(Duration.ofSeconds(8));
     assertThat(shutdown.admits(tenSecondRoute)).isFalse();
   }
+
+  @Test
+  void shouldAdmitNothingOnceTheRestIsBeingAnswered() {
+    shutdown.begin(Duration.ofSeconds(20));
+    shutdown.end();
+
+    assertThat(shutdown.admits(tenSecondRoute)).isFalse();
+  }
 }
