Let entries without a share of a request limit notify those that have one

Cause: only entries that have a share of a rate notified the others of it. At few requests a second none of them may have been answered by the server yet; those that had been kept to the rate for 5 s only, as nobody confirmed it, and sent again then.

Change: an entry also notifies others of a rate that a server stated to it within the last 5 s, whether it has a share or not. It stops then, as it would not notice that the rate is lifted.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerAvailability.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerAvailability.java
@@ -153,7 +153,7 @@
   public ServerNotices toTell(long nowNanos) {
     return new ServerNotices(
         leaving.toTell(nowNanos),
-        limits.toTell(),
+        limits.toTell(nowNanos),
         brittle.brittle(),
         brittle.full(nowNanos),
         QuarantineNotices.NONE);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerRateLimits.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerRateLimits.java
@@ -82,15 +82,18 @@
     limit.everTold = true;
   }
 
-  /** Returns the rates that backend servers state to this entry and that it has a share of. */
-  Map<String, Double> toTell() {
+  /**
+   * Returns the rates that backend servers state to this entry and that it has a share of; others
+   * only while the statement is new, as this entry would not notice that the rate is lifted.
+   */
+  Map<String, Double> toTell(long nowNanos) {
     if (limits.isEmpty()) {
       return Map.of();
     }
     Map<String, Double> told = new HashMap<>();
     limits.forEach(
         (incarnation, limit) -> {
-          if (limit.stated.isPresent() && hasShare(limit.server, limit.stated.getAsDouble())) {
+          if (limit.stated.isPresent() && isKept(limit, limit.server, nowNanos)) {
             told.put(incarnation, limit.stated.getAsDouble());
           }
         });
@@ -125,18 +128,23 @@
     if (limit == null) {
       return Optional.empty();
     }
-    long sinceStated = nowNanos - limit.statedNanos;
-    if (limit.stated.isPresent()
-        && (hasShare(server, limit.stated.getAsDouble())
-            || sinceStated < UNCONFIRMED_MEMORY.toNanos())) {
+    if (limit.stated.isPresent() && isKept(limit, server, nowNanos)) {
       return Optional.of(limit.stated.getAsDouble());
     }
     boolean lifted =
-        limit.server != null && limit.stated.isEmpty() && sinceStated < LIFTED_MEMORY.toNanos();
+        limit.server != null
+            && limit.stated.isEmpty()
+            && nowNanos - limit.statedNanos < LIFTED_MEMORY.toNanos();
     boolean told = limit.everTold && nowNanos - limit.toldNanos < TOLD_MEMORY.toNanos();
     return told && !lifted ? Optional.of(limit.told) : Optional.empty();
   }
 
+  /** Returns whether this entry keeps to the rate that a server stated to it. */
+  private boolean isKept(Limit limit, BackendServer server, long nowNanos) {
+    return hasShare(server, limit.stated.getAsDouble())
+        || nowNanos - limit.statedNanos < UNCONFIRMED_MEMORY.toNanos();
+  }
+
   private boolean hasShare(BackendServer server, double perSecond) {
     return share.applyAsDouble(server, Math.max(perSecond, MIN_PER_SECOND)) > 0;
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/limits/ServerRateLimitsTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/limits/ServerRateLimitsTest.java
@@ -18,6 +18,8 @@
 import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.model.BackendServer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class ServerRateLimitsTest {
   private static final BackendServer SERVER = Samples.server("w1", "dc0", "v1");
@@ -117,6 +119,14 @@
     assertThat(most).isLessThanOrEqualTo((int) (perSecond * 4 * 1.5 + 5));
   }
 
+  @ParameterizedTest
+  @CsvSource({"233, 68, 1, 2", "175704, 77, 3, 2"})
+  void shouldKeepWithinTheRateThoughOnlyEntriesWithoutAShareWereTold(
+      long seed, int entryCount, int tenthsPerSecond, int arrivalsPerSecond) {
+    shouldKeepAllEntriesTogetherWithinOneAndAHalfTimesTheRateAndFive(
+        seed, entryCount, tenthsPerSecond, arrivalsPerSecond);
+  }
+
   private static List<Entry> entries(int count, Random random) {
     List<Member> members = new ArrayList<>();
     for (int i = 0; i < count; i++) {
@@ -126,7 +136,7 @@
   }
 
   private static void exchange(List<Entry> entries, long now) {
-    List<Map<String, Double>> told = entries.stream().map(e -> e.limits.toTell()).toList();
+    List<Map<String, Double>> told = entries.stream().map(e -> e.limits.toTell(now)).toList();
     for (Entry entry : entries) {
       told.forEach(t -> t.forEach((i, rate) -> entry.limits.onReport(i, rate, now)));
     }
