--- a/guavagw-core/src/test/java/org/guavagw/internal/peer/PeerNetworkTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/peer/PeerNetworkTest.java
@@ -28,6 +28,9 @@
   /** Answer to the question with the same number. */
   record Reply(long number) implements PeerMessage {}
 
+  /** A message that the receiver doesn't know. */
+  record Later(String text) implements PeerMessage {}
+
   @AfterEach
   void close() {
     closer.close();
@@ -55,6 +58,28 @@
     assertThat(one.join()).isEqualTo(new Reply(1));
   }
 
+  @Test
+  void shouldDropAMessageOfATypeThatOnlyALaterBuildKnows() {
+    PeerMessageRegistry later = registry();
+    later.register(new PeerMessageType<>("later", Later.class));
+    NettyPeerNetwork a =
+        closer.register(
+            new NettyPeerNetwork(
+                new PeerIdentity("a", 1),
+                PeerSettings.of(HOST, 0, "secret"),
+                addresses,
+                later,
+                Runnable::run,
+                metrics));
+    NettyPeerNetwork b = network("b", "secret", Runnable::run);
+    b.onRequest(Question.class, (from, q) -> CompletableFuture.completedFuture(new Reply(1)));
+
+    assertThat(a.send("b", new Later("x")).isRight()).isTrue();
+
+    assertThat(a.request("b", new Question(1, ""), TIMEOUT).join()).isEqualTo(new Reply(1));
+    assertThat(metrics.counter("peer.unknown-type").getCount()).isEqualTo(1);
+  }
+
   @Test
   void shouldReplaceAConnectionThatStopsAnswering() throws Exception {
     NettyPeerNetwork a = network("a", shortPingInterval(), Runnable::run);
