Put a load view, a placement outcome and a scheduler between admission and attempts

Cause: the gateway sends each admitted request at once to the server with the lowest cost; slots, memory, order among routes and teams and waiting have no place in the code. Change: the interfaces that the decisions under load share, with implementations that keep today's behaviour. ImmediateScheduler starts everything at once, and AffinityPlacer reports room everywhere.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
@@ -2,7 +2,6 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.PromptPart;
 
@@ -38,7 +37,7 @@
   }
 
   @Override
-  public Optional<BackendServer> choose(PlacementQuery query) {
+  public Placement place(PlacementQuery query) {
     BackendServer best = null;
     double bestCost = Double.MAX_VALUE;
     boolean bestAvoided = true;
@@ -54,7 +53,14 @@
         bestAvoided = avoided;
       }
     }
-    return Optional.ofNullable(best);
+    return best == null ? Placement.none() : placed(best, query);
+  }
+
+  private Placement placed(BackendServer server, PlacementQuery query) {
+    double firstEventMillis =
+        loads.expectedMillis(server, query.model(), query.prompt(), query.promptTokens());
+    double waitMillis = loads.totalPendingPrefillMillis(server);
+    return new Placement.Placed(server, waitMillis, firstEventMillis, true);
   }
 
   private double cost(BackendServer server, PlacementQuery query) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptCounts.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptCounts.java
@@ -45,6 +45,15 @@
     this.executed = attemptsElsewhere;
   }
 
+  /** Creates counts of a request that has not been sent from here. */
+  static AttemptCounts of(AdmittedRequest request, RetryBudget budget) {
+    return new AttemptCounts(
+        request.route().safeToRetry(),
+        request.route().maxAttempts(),
+        request.attemptsElsewhere().orElse(0),
+        budget);
+  }
+
   /** Returns the attempts that count towards the limit of the route. */
   int counted() {
     return executed - executedOnEnded;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.guavagw.gateway.internal.cascade.AttemptEstimate;
+import org.guavagw.gateway.internal.placement.Placement;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.CallerRequest;
@@ -25,10 +26,16 @@
     this.plan = plan;
   }
 
+  /** Returns the backend server for an attempt that is sent now, if any is eligible. */
   Optional<BackendServer> selectServer(Optional<String> model, Set<String> excluded, long now) {
+    return place(model, excluded, now).chosen();
+  }
+
+  /** Returns where an attempt that is sent now would go. */
+  Placement place(Optional<String> model, Set<String> excluded, long now) {
     return shared
         .selector()
-        .select(
+        .place(
             shared.currentView().get(),
             plan.service(),
             plan.session(),
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendSelector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendSelector.java
@@ -7,6 +7,7 @@
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.limits.ColdStartLimiter;
 import org.guavagw.gateway.internal.limits.ServerAvailability;
+import org.guavagw.gateway.internal.placement.Placement;
 import org.guavagw.gateway.internal.placement.PlacementQuery;
 import org.guavagw.gateway.internal.placement.Placer;
 import org.guavagw.gateway.internal.rollout.VersionSelector;
@@ -37,7 +38,8 @@
     this.localDataCentre = localDataCentre;
   }
 
-  Optional<BackendServer> select(
+  /** Returns where an attempt is sent; the request may already have been sent to those excluded. */
+  Placement place(
       ControlView view,
       String service,
       String session,
@@ -53,7 +55,7 @@
         available.stream().filter(s -> coldStartLimiter.allows(s, nowNanos)).toList();
     List<BackendServer> ofVersion =
         versions.select(view, service, session, belowColdLimit, nowNanos);
-    return placer.choose(
+    return placer.place(
         new PlacementQuery(
             ofVersion,
             excluded,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -228,8 +228,10 @@
             shared.fromEntries() ? attemptsElsewhere : OptionalInt.empty(),
             arrivedNanos,
             admitted.view().configVersion());
-    exchange = new Exchange(shared.exchangeDependencies(), request, this, this::onExchangeDone);
-    exchange.start();
+    var scheduled =
+        new ScheduledExchange(shared.exchangeDependencies(), request, this, this::onExchangeDone);
+    exchange = scheduled.exchange();
+    scheduled.submit();
   }
 
   private Either<Refusal, AdmissionCheck.Admission> checkAdmission(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -10,6 +10,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.guavagw.Refusal;
+import org.guavagw.gateway.internal.admission.RequestTraits;
+import org.guavagw.gateway.internal.placement.Placement;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.AnswerHead;
 
@@ -63,48 +65,59 @@
     this.sender = new AttemptSender(shared, request, plan, log);
     this.monitor = new StalledAttemptMonitor(shared, request, this);
     this.outcomes = new OutcomeReporter(shared, request, plan);
-    this.counts =
-        new AttemptCounts(
-            request.route().safeToRetry(),
-            request.route().maxAttempts(),
-            request.attemptsElsewhere().orElse(0),
-            shared.retryBudgets().apply(plan.service()));
+    this.counts = AttemptCounts.of(request, shared.retryBudgets().apply(plan.service()));
     this.lastEventId = request.caller().resumeAfter();
     this.model = shared.models().initialModel(request.route(), request.caller());
     this.deadlineTimer = shared.runAt(plan.deadlineNanos(), this::onTimeout);
   }
 
-  void start() {
-    dispatch();
+  RequestTraits traits() {
+    return plan.traits(request);
+  }
+
+  /** Starts or ends the exchange, unless it has to wait as all eligible servers are full. */
+  boolean tryStart(long now) {
+    return dispatch(now, true);
+  }
+
+  /** Refuses a request that was never sent to a backend server. */
+  void refuseUnstarted(Refusal refusal) {
+    refuse(refusal);
   }
 
   private void dispatch() {
+    var unused = dispatch(shared.ticker().read(), false);
+  }
+
+  /** Sends the next attempt or ends the exchange; returns false if neither, as it may wait. */
+  private boolean dispatch(long now, boolean mayWait) {
     if (!lifecycle.isActive()) {
-      return;
+      return true;
     }
-    long now = shared.ticker().read();
     if (isOver(now)) {
       onTimeout();
-      return;
+      return true;
     }
     Optional<Duration> untilAllowed = guard.untilAllowed(now);
     if (untilAllowed.isPresent()) {
       refuse(ExchangeRefusals.quarantined(untilAllowed.get()));
-      return;
+      return true;
     }
     boolean cutOff = shared.connectivity().isCutOff(plan.service());
-    Optional<BackendServer> chosen =
-        cutOff ? Optional.empty() : planner.selectServer(model, triedIncarnations, now);
+    Placement placement = cutOff ? Placement.none() : planner.place(model, triedIncarnations, now);
+    if (mayWait && placement.mustWait()) {
+      return false;
+    }
+    Optional<BackendServer> chosen = placement.chosen();
     boolean mayForward = !request.forwarded() && counts.allowsAnother();
-    if (chosen.isEmpty() && (cutOff || connectionsFailed) && mayForward) {
+    if (chosen.isPresent()) {
+      startAttempt(chosen.get(), now);
+    } else if ((cutOff || connectionsFailed) && mayForward) {
       forward();
-      return;
-    }
-    if (chosen.isEmpty()) {
+    } else {
       refuse(ExchangeRefusals.noBackendServer(planner.retryDelay(counts.turnedAway() > 0, now)));
-      return;
     }
-    startAttempt(chosen.get(), now);
+    return true;
   }
 
   /** Lets another entry serve the request from here on. */
@@ -113,14 +126,7 @@
       return;
     }
     deadlineTimer.cancel(false);
-    ForwardedExchange.State state =
-        new ForwardedExchange.State(
-            plan.service(),
-            plan.deadlineNanos(),
-            lastEventId,
-            streamStarted,
-            counts.counted(),
-            counts.provenNotRun());
+    var state = ForwardedExchange.State.of(plan, lastEventId, streamStarted, counts);
     forwarded = new ForwardedExchange(shared, request, state, sink, onDone, log);
     forwarded.start();
   }
@@ -410,15 +416,7 @@
     end(
         adjusted.code().wireName() + ": " + adjusted.reason(),
         adjusted.code().httpStatus(),
-        () -> writeRefusal(adjusted));
-  }
-
-  private void writeRefusal(Refusal refusal) {
-    if (streamStarted) {
-      sink.abort();
-    } else {
-      RefusalWriter.write(sink, refusal);
-    }
+        () -> RefusalWriter.writeOrAbort(sink, adjusted, streamStarted));
   }
 
   private void onTimeout() {
@@ -481,13 +479,7 @@
     }
     deadlineTimer.cancel(false);
     log.ended(
-        new ExchangeLog.Summary(
-            outcome,
-            status,
-            counts.executed(),
-            counts.turnedAway(),
-            firstEventNanos,
-            eventsForwarded),
+        ExchangeLog.Summary.of(outcome, status, counts, firstEventNanos, eventsForwarded),
         model,
         Optional.ofNullable(progress).map(AttemptProgress::server));
     endAttempt();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeDependencies.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import org.guavagw.gateway.internal.admission.RequestScheduler;
 import org.guavagw.gateway.internal.cascade.ModelSelector;
 import org.guavagw.gateway.internal.control.CurrentControlView;
 import org.guavagw.gateway.internal.limits.ColdStartLimiter;
@@ -29,6 +30,7 @@
 record ExchangeDependencies(
     CurrentControlView currentView,
     AdmissionCheck admission,
+    RequestScheduler scheduler,
     BackendSelector selector,
     VersionSelector versions,
     RolloutManager rollouts,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
@@ -116,5 +116,11 @@
    * @param firstEventNanos time at which the first event was forwarded; 0 if none was
    */
   record Summary(
-      String outcome, int status, int executed, int turnedAway, long firstEventNanos, int events) {}
+      String outcome, int status, int executed, int turnedAway, long firstEventNanos, int events) {
+    static Summary of(
+        String outcome, int status, AttemptCounts counts, long firstEventNanos, int events) {
+      return new Summary(
+          outcome, status, counts.executed(), counts.turnedAway(), firstEventNanos, events);
+    }
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -64,7 +64,18 @@
       OptionalLong resumeAfter,
       boolean answerStarted,
       int attempts,
-      boolean provenNotRun) {}
+      boolean provenNotRun) {
+    static State of(
+        RequestPlan plan, OptionalLong resumeAfter, boolean answerStarted, AttemptCounts counts) {
+      return new State(
+          plan.service(),
+          plan.deadlineNanos(),
+          resumeAfter,
+          answerStarted,
+          counts.counted(),
+          counts.provenNotRun());
+    }
+  }
 
   ForwardedExchange(
       ExchangeDependencies shared,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RefusalWriter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RefusalWriter.java
@@ -37,6 +37,15 @@
         ByteBufUtil.writeUtf8(UnpooledByteBufAllocator.DEFAULT, toJson(refusal)));
   }
 
+  /** Sends a refusal, or breaks off the answer if it has started. */
+  static void writeOrAbort(AnswerSink sink, Refusal refusal, boolean answerStarted) {
+    if (answerStarted) {
+      sink.abort();
+    } else {
+      write(sink, refusal);
+    }
+  }
+
   private static String formatSeconds(Duration delay) {
     return String.format(Locale.ROOT, "%.3f", delay.toMillis() / MILLIS_PER_SECOND);
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -16,6 +16,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.guavagw.gateway.GatewaySettings;
+import org.guavagw.gateway.internal.admission.ImmediateScheduler;
 import org.guavagw.gateway.internal.cascade.ModelSelector;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.control.CurrentControlView;
@@ -144,6 +145,7 @@
         new ExchangeDependencies(
             currentView,
             new AdmissionCheck(currentView, settings.maxKeyAge()),
+            new ImmediateScheduler(),
             selector,
             versions,
             rollouts,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RequestPlan.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RequestPlan.java
@@ -2,8 +2,10 @@
 
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import org.guavagw.gateway.internal.admission.RequestTraits;
 import org.guavagw.gateway.model.Route;
 import org.guavagw.gateway.model.ServiceShare;
+import org.guavagw.gateway.model.Team;
 
 /**
  * The properties of a request that are the same for all its attempts. Immutable.
@@ -16,6 +18,10 @@
 record RequestPlan(String service, String session, long deadlineNanos, int priority) {
   private static final int DEFAULT_PRIORITY = 5;
   private static final int MAX_PRIORITY = 9;
+
+  /** Work of generating a token relative to that of reading one. */
+  private static final double ANSWER_TOKEN_COST = 10;
+
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   static RequestPlan of(AdmittedRequest request) {
@@ -30,6 +36,20 @@
         priorityOf(request));
   }
 
+  /** Returns what decides the order of the request among others. */
+  RequestTraits traits(AdmittedRequest request) {
+    Route route = request.route();
+    return new RequestTraits(
+        service,
+        request.team().map(Team::name).orElse(""),
+        route.name(),
+        rankOf(request),
+        1 + request.caller().promptTokens() + ANSWER_TOKEN_COST * request.caller().answerTokens(),
+        request.arrivedNanos(),
+        request.arrivedNanos() + route.objective().toNanos(),
+        deadlineNanos);
+  }
+
   private static String pickService(Route route) {
     int total = route.shares().stream().mapToInt(ServiceShare::weight).sum();
     int point = total > 0 ? ThreadLocalRandom.current().nextInt(total) : 0;
@@ -53,15 +73,17 @@
     return request.caller().session().orElse(fallback);
   }
 
+  private static int rankOf(AdmittedRequest request) {
+    return request.team().stream()
+        .flatMapToInt(t -> t.priority().stream())
+        .findFirst()
+        .orElse(request.route().priority());
+  }
+
   private static int priorityOf(AdmittedRequest request) {
     if (request.route().models().isEmpty()) {
       return DEFAULT_PRIORITY;
     }
-    int priority =
-        request.team().stream()
-            .flatMapToInt(t -> t.priority().stream())
-            .findFirst()
-            .orElse(request.route().priority());
-    return Math.min(MAX_PRIORITY, Math.max(0, priority));
+    return Math.min(MAX_PRIORITY, Math.max(0, rankOf(request)));
   }
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/PlacementLoadTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/PlacementLoadTest.java
@@ -51,7 +51,7 @@
     Set<String> chosen = new HashSet<>();
     Random random = new Random(seed);
     for (int i = 0; i < 50; i++) {
-      chosen.add(new AffinityPlacer(loads).choose(query(random, 0)).orElseThrow().id());
+      chosen.add(new AffinityPlacer(loads).place(query(random, 0)).chosen().orElseThrow().id());
     }
     assertThat(chosen).doesNotContain("s0").hasSizeGreaterThan(1);
   }
@@ -59,7 +59,9 @@
   private static Placer leastInFlight(LoadTracker loads) {
     return query ->
         query.candidates().stream()
-            .min(Comparator.comparingInt((BackendServer s) -> loads.totalInFlight(s)));
+            .min(Comparator.comparingInt((BackendServer s) -> loads.totalInFlight(s)))
+            .<Placement>map(s -> new Placement.Placed(s, 0, 0, true))
+            .orElse(Placement.none());
   }
 
   private static Result simulate(long seed, LoadTracker loads, Placer placer) {
@@ -78,7 +80,7 @@
         loads.onEnded(done.server());
       }
       PlacementQuery query = query(random, (long) (now * NANOS_PER_MILLI));
-      BackendServer server = placer.choose(query).orElseThrow();
+      BackendServer server = placer.place(query).chosen().orElseThrow();
       PrefillEstimate estimate =
           loads.onSent(server, MODEL, query.prompt(), query.promptTokens(), CACHE_TOKENS);
       Engine engine = engines[Integer.parseInt(server.id().substring(1))];
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendSelectorTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendSelectorTest.java
@@ -132,7 +132,7 @@
             OptionalInt.empty(),
             0,
             1);
-    return selector.select(view, "engine", session, request, "", Set.of(), 1);
+    return selector.place(view, "engine", session, request, "", Set.of(), 1).chosen();
   }
 
   private static ControlView view(
