Sign the peer handshake without loading the JDK's security providers

Cause: Mac.getInstance looks for its algorithm in one provider after the other and so loads all of them (RSA, EC, JSSE, XML signatures, Kerberos, smart cards), then reads the cryptographic policy files.

--- a/guavagw-core/src/main/java/org/guavagw/internal/peer/PeerHandshake.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/peer/PeerHandshake.java
@@ -1,7 +1,7 @@
 package org.guavagw.internal.peer;
 
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.SecureRandom;
@@ -11,12 +11,12 @@
   private static final int NONCE_BYTES = 16;
 
   private final PeerIdentity self;
-  private final HashFunction mac;
+  private final HmacSha256 mac;
   private final SecureRandom random = new SecureRandom();
 
   PeerHandshake(PeerIdentity self, String secret) {
     this.self = self;
-    this.mac = Hashing.hmacSha256(secret.getBytes(StandardCharsets.UTF_8));
+    this.mac = new HmacSha256(secret.getBytes(StandardCharsets.UTF_8));
   }
 
   PeerFrame newChallenge() {
@@ -42,12 +42,16 @@
   }
 
   private byte[] sign(PeerFrame.Kind kind, byte[] nonce, String memberId, long incarnation) {
-    return mac.newHasher()
-        .putBytes(nonce)
-        .putString(kind.name(), StandardCharsets.UTF_8)
-        .putLong(incarnation)
-        .putString(memberId, StandardCharsets.UTF_8)
-        .hash()
-        .asBytes();
+    byte[] kindBytes = kind.name().getBytes(StandardCharsets.UTF_8);
+    byte[] memberBytes = memberId.getBytes(StandardCharsets.UTF_8);
+    ByteBuffer message =
+        ByteBuffer.allocate(nonce.length + kindBytes.length + Long.BYTES + memberBytes.length)
+            // Builds that are deployed sign this order.
+            .order(ByteOrder.LITTLE_ENDIAN)
+            .put(nonce)
+            .put(kindBytes)
+            .putLong(incarnation)
+            .put(memberBytes);
+    return mac.sign(message.array());
   }
 }
