Learn the speed of backend servers and place by speed and room

Cause: placement took every server of a version for equally fast and never read the slots it registers or the memory of its engine, so that a slow server got as much work as a fast one and a full one was chosen beside a free one.

Change: each entry compares the times of prefills, events and plain requests with those of their kind and keeps the logarithm of each incarnation's speed. Prefill times are fitted as a fixed part and one by the work of the prompt, with a quadratic part. Prompts go to the server with room that begins first, two of them preferred for shared parts; plain requests are spread by speed and free slots.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -12,6 +13,8 @@
 public final class GatewayMetrics {
   private final MetricRegistry registry = new MetricRegistry();
   private final Counter ignoredWorkReports = registry.counter("work_reports_ignored");
+  private final Timer laterThanExpected = registry.timer("placement.first_event_later");
+  private final Timer earlierThanExpected = registry.timer("placement.first_event_earlier");
   private final Counter forwardedRequests = registry.counter("requests_forwarded");
 
   /** Returns the registry with all metrics. */
@@ -41,6 +44,13 @@
     forwardedRequests.inc();
   }
 
+  /** Records how far the time to the first event was from what placement expected. */
+  public void onFirstEvent(long expectedMillis, long measuredMillis) {
+    long error = measuredMillis - expectedMillis;
+    (error < 0 ? earlierThanExpected : laterThanExpected)
+        .update(Math.abs(error), TimeUnit.MILLISECONDS);
+  }
+
   /** Counts a call to the store. */
   public void onStoreCall(String call, String result) {
     registry.counter("store_calls." + call + "." + result).inc();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
@@ -33,6 +33,7 @@
           new PeerMessageType<>("work", WorkReport.class),
           new PeerMessageType<>("data-centre-work", DataCentreWork.class),
           new PeerMessageType<>("work-summary", WorkSummary.class),
+          new PeerMessageType<>("measurement-report", MeasurementReport.class),
           new PeerMessageType<>("replica-query", ReplicaQuery.class),
           new PeerMessageType<>("replica-answer", ReplicaAnswer.class),
           new PeerMessageType<>("config-query", ConfigQuery.class),
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
@@ -1,17 +1,18 @@
 package org.guavagw.gateway.internal.placement;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.guavagw.gateway.internal.load.ServerSnapshot;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.PromptPart;
 
 /**
- * Chooses the backend server that is expected to finish the prefill of a prompt first.
+ * Chooses the engine that is expected to finish the prefill of a prompt first.
  *
  * <p>The expected time is the prefill time of the prompts queued at a backend server plus that of
- * the part of this prompt that is not in its prefix cache. For a prompt that no backend server has
- * cached, all entries prefer the same backend server by rendezvous hashing. Confined to the traffic
- * thread.
+ * the part of this prompt that is not in its prefix cache, at the speed of the server. Servers with
+ * room come before full ones. For a prompt whose shared parts no backend server is known to have
+ * cached, all entries prefer the same two by rendezvous hashing, as far as that saves prefill time.
+ * Other choices are spread, as entries decide by the same reports. Confined to the traffic thread.
  */
 public final class AffinityPlacer implements Placer {
   /** Cost of each in-flight request: its decoding steps delay the prefill of other prompts. */
@@ -23,11 +24,19 @@
   /** Cost at a failure rate of 100 %; scaled by the recent failure rate. */
   private static final double FAILURE_COST_MILLIS = 2000;
 
-  /**
-   * Cost of the lowest rendezvous score; large enough that entries agree on a server for an
-   * uncached prompt.
-   */
-  private static final double RENDEZVOUS_COST_MILLIS = 70;
+  /** Difference of expected times within which the choices of entries are spread. */
+  private static final double SPREAD_MILLIS = 40;
+
+  /** Largest cost of a server that is not preferred for the shared parts of a prompt. */
+  private static final double MAX_SHARING_COST_MILLIS = 150;
+
+  /** Part of the sharing cost that the second preferred server has. */
+  private static final double SECOND_CHOICE_SHARE = 0.4;
+
+  /** Speeds that differ by less weigh alike in rendezvous hashing, so that entries agree. */
+  private static final double SPEED_STEP = 0.5;
+
+  private static final double LOG_2 = Math.log(2);
 
   private final LoadTracker loads;
 
@@ -38,61 +47,135 @@
 
   @Override
   public Placement place(PlacementQuery query) {
+    double sharingCost = sharingCost(query);
+    Preference preference = sharingCost > 0 ? preference(query) : Preference.NONE;
+    long spreadKey = Hash64.of(spreadKey(query));
     BackendServer best = null;
+    ServerSnapshot bestState = null;
     double bestCost = Double.MAX_VALUE;
-    boolean bestAvoided = true;
+    int bestTier = Integer.MAX_VALUE;
     for (BackendServer server : query.candidates()) {
-      if (query.excluded().contains(server.incarnation())) {
+      if (isExcluded(server, query)) {
         continue;
       }
-      boolean avoided = loads.load(server).avoidedAt(query.nowNanos());
-      double cost = cost(server, query);
-      if (best == null || (avoided == bestAvoided ? cost < bestCost : !avoided)) {
+      ServerSnapshot state = loads.at(server, query.nowNanos());
+      int tier = tier(server, state, query);
+      if (tier > bestTier) {
+        continue;
+      }
+      double cost = cost(server, state, query) + sharingCost * preference.costShare(server);
+      cost += Hash64.unit(spreadKey, loads.load(server).idHash()) * SPREAD_MILLIS;
+      if (tier < bestTier || cost < bestCost) {
         best = server;
+        bestState = state;
         bestCost = cost;
-        bestAvoided = avoided;
+        bestTier = tier;
       }
     }
-    return best == null ? Placement.none() : placed(best, query);
+    return best == null ? Placement.none() : placed(best, bestState, query);
+  }
+
+  private Placement placed(BackendServer server, ServerSnapshot state, PlacementQuery query) {
+    boolean room = hasRoom(state, query);
+    double wait = state.pendingPrefillMillis() + (room ? 0 : slotWaitMillis(server, state));
+    double unqueued =
+        loads.unqueuedMillis(server, query.model(), query.prompt(), query.promptTokens());
+    return new Placement.Placed(server, wait, wait + unqueued, room);
   }
 
-  private Placement placed(BackendServer server, PlacementQuery query) {
-    double firstEventMillis =
-        loads.expectedMillis(server, query.model(), query.prompt(), query.promptTokens());
-    double waitMillis = loads.totalPendingPrefillMillis(server);
-    return new Placement.Placed(server, waitMillis, firstEventMillis, true);
+  private double slotWaitMillis(BackendServer server, ServerSnapshot state) {
+    int ahead = Math.max(0, state.running() - state.slots()) + 1;
+    return ahead * loads.meanDurationMillis(server) / Math.max(1, state.slots());
   }
 
-  private double cost(BackendServer server, PlacementQuery query) {
-    ServerLoad load = loads.load(server);
-    double cost = loads.expectedMillis(server, query.model(), query.prompt(), query.promptTokens());
-    cost += loads.totalInFlight(server) * IN_FLIGHT_COST_MILLIS;
-    cost += load.failureRate(query.nowNanos()) * FAILURE_COST_MILLIS;
-    if (!server.dataCentre().equals(query.localDataCentre())) {
-      cost += OTHER_DATA_CENTRE_COST_MILLIS;
+  /** Returns 0 for the servers that are to be used first. */
+  private int tier(BackendServer server, ServerSnapshot state, PlacementQuery query) {
+    int avoided = loads.load(server).avoidedAt(query.nowNanos()) ? 2 : 0;
+    return avoided + (hasRoom(state, query) ? 0 : 1);
+  }
+
+  /** An idle engine has room for any request, as waiting would not give it more. */
+  private static boolean hasRoom(ServerSnapshot state, PlacementQuery query) {
+    return state.running() == 0 || state.hasRoom(query.tokens());
+  }
+
+  private double cost(BackendServer server, ServerSnapshot state, PlacementQuery query) {
+    double cost = state.pendingPrefillMillis();
+    cost += loads.unqueuedMillis(server, query.model(), query.prompt(), query.promptTokens());
+    cost += state.running() * IN_FLIGHT_COST_MILLIS / state.speed();
+    cost += loads.load(server).failureRate(query.nowNanos()) * FAILURE_COST_MILLIS;
+    return isLocal(server, query) ? cost : cost + OTHER_DATA_CENTRE_COST_MILLIS;
+  }
+
+  /** Returns the prefill time that a later request with the same shared parts would save. */
+  private double sharingCost(PlacementQuery query) {
+    int shared = 0;
+    for (int i = 0; i < query.prompt().size() - 1; i++) {
+      shared += query.prompt().get(i).tokens();
     }
-    return cost + (1 - rendezvousScore(server, query)) * RENDEZVOUS_COST_MILLIS;
+    return Math.min(
+        MAX_SHARING_COST_MILLIS, loads.prefillMillisAtSpeedOne(query.model(), shared, 0));
   }
 
-  private static double rendezvousScore(BackendServer server, PlacementQuery query) {
-    String key = rendezvousKey(query);
-    long hash =
-        Hashing.murmur3_128()
-            .newHasher()
-            .putString(server.id(), StandardCharsets.UTF_8)
-            .putString(key, StandardCharsets.UTF_8)
-            .hash()
-            .asLong();
-    return (hash >>> 11) / (double) (1L << 53);
+  /** Returns the servers that all entries of this data centre prefer for the shared parts. */
+  private Preference preference(PlacementQuery query) {
+    List<PromptPart> prompt = query.prompt();
+    long key = Hash64.of(query.model() + '/' + prompt.get(prompt.size() - 2).id());
+    BackendServer first = null;
+    BackendServer second = null;
+    double firstScore = Double.MAX_VALUE;
+    double secondScore = Double.MAX_VALUE;
+    for (BackendServer server : query.candidates()) {
+      if (!isLocal(server, query) || isExcluded(server, query)) {
+        continue;
+      }
+      double score = rendezvousScore(key, loads.load(server));
+      if (score < firstScore) {
+        second = first;
+        secondScore = firstScore;
+        first = server;
+        firstScore = score;
+      } else if (score < secondScore) {
+        second = server;
+        secondScore = score;
+      }
+    }
+    return new Preference(first, second);
   }
 
-  /** Returns the last prompt part that can be shared; the final part is unique to the request. */
-  private static String rendezvousKey(PlacementQuery query) {
+  /** Returns a score by which a server comes first in proportion to its speed; lowest is first. */
+  private static double rendezvousScore(long key, ServerLoad load) {
+    double steps = Math.rint(Math.log(load.speed()) / LOG_2 / SPEED_STEP);
+    return -Math.log(Hash64.unit(key, load.idHash())) / Math.pow(2, steps * SPEED_STEP);
+  }
+
+  private static String spreadKey(PlacementQuery query) {
     int parts = query.prompt().size();
-    if (parts == 0) {
-      return Long.toString(query.nowNanos());
+    return parts == 0
+        ? Long.toString(query.nowNanos())
+        : query.prompt().get(parts - 1).id() + query.nowNanos();
+  }
+
+  private boolean isExcluded(BackendServer server, PlacementQuery query) {
+    return !query.excluded().isEmpty()
+        && query.excluded().contains(loads.load(server).incarnation());
+  }
+
+  private static boolean isLocal(BackendServer server, PlacementQuery query) {
+    return server.dataCentre().equals(query.localDataCentre());
+  }
+
+  /** The servers that are preferred for a prompt; null if there are none. Immutable. */
+  private record Preference(BackendServer first, BackendServer second) {
+    private static final Preference NONE = new Preference(null, null);
+
+    /** Returns the part of the sharing cost that a server has. */
+    @SuppressWarnings("ReferenceEquality") // candidates of one query
+    double costShare(BackendServer server) {
+      if (server == first) {
+        return 0;
+      }
+      return server == second ? SECOND_CHOICE_SHARE : 1;
     }
-    PromptPart part = query.prompt().get(Math.max(0, parts - 2));
-    return part.id();
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
@@ -2,14 +2,21 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.guavagw.gateway.internal.load.LoadView;
+import org.guavagw.gateway.internal.load.ServerSnapshot;
+import org.guavagw.gateway.internal.peers.Measurements;
 import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.internal.peers.ServerWork;
 import org.guavagw.gateway.internal.peers.ServerWork.Work;
 import org.guavagw.gateway.model.BackendServer;
+import org.guavagw.gateway.model.EngineSpec;
 import org.guavagw.gateway.spi.PromptPart;
 
 /**
@@ -19,9 +26,9 @@
  * incarnation, so a restarted backend server starts with empty state. Confined to the traffic
  * thread.
  */
-public final class LoadTracker {
-  /** Assumed share of an engine's memory used as prefix cache; running requests use the rest. */
-  private static final double CACHE_SHARE = 0.6;
+public final class LoadTracker implements LoadView {
+  /** Assumed share of an engine's memory that is left for the prefix cache at least. */
+  private static final double MIN_CACHE_SHARE = 0.1;
 
   /** Assumed memory of engines whose size is unknown, in tokens. */
   private static final long DEFAULT_CACHE_TOKENS = 100_000;
@@ -38,43 +45,111 @@
   private static final double MIN_FAILURE_RATE = 0.4;
   private static final double MIN_FAILURES = 2.5;
 
+  private final Function<String, Optional<EngineSpec>> engines;
   private final Map<String, ServerLoad> loads = new HashMap<>();
+  private final IdentityHashMap<BackendServer, ServerLoad> byRegistration = new IdentityHashMap<>();
   private final PrefillRateEstimator prefillRates = new PrefillRateEstimator();
+  private final ServerSpeeds speeds = new ServerSpeeds();
+  private final RequestMeans means = new RequestMeans();
   private final PeerWorkReports peerReports = new PeerWorkReports();
-  private final Map<String, PrefixCacheEstimate> prefixCaches = new HashMap<>();
 
+  /** Creates a tracker of backend servers whose engines are not configured. */
+  public LoadTracker() {
+    this(service -> Optional.empty());
+  }
+
+  /**
+   * Creates a tracker.
+   *
+   * @param engines returns the engines of a service if it has any
+   */
+  public LoadTracker(Function<String, Optional<EngineSpec>> engines) {
+    this.engines = engines;
+  }
+
+  /** Returns the load of a backend server, with the latest reports of other entries. */
   ServerLoad load(BackendServer server) {
-    return loads.computeIfAbsent(server.incarnation(), i -> new ServerLoad());
+    ServerLoad load = byRegistration.get(server);
+    if (load == null) {
+      load = loads.computeIfAbsent(server.incarnation(), i -> new ServerLoad(i, server.id()));
+      load.setSpeed(speeds.speed(load.incarnation()));
+      Optional<EngineSpec> engine = engines.apply(server.service());
+      load.setCapacity(
+          engine.map(EngineSpec::slots).orElse(server.slots()),
+          engine.map(EngineSpec::cacheTokens).orElse(0L));
+      byRegistration.put(server, load);
+    }
+    return load;
+  }
+
+  @Override
+  public ServerSnapshot at(BackendServer server, long nowNanos) {
+    ServerLoad load = load(server);
+    Work reported = updatePeers(load, server);
+    double peers = load.peers().running(means.durationMillis(server.service()), nowNanos);
+    long peerTokens = Math.round(peers * means.tokens(server.service()));
+    return new ServerSnapshot(
+        load.inFlight() + (int) Math.round(peers),
+        load.slots(),
+        load.pendingPrefillMillis() + reported.waitingMillis(),
+        load.promisedTokens() + peerTokens,
+        load.memoryTokens(),
+        load.speed(),
+        Duration.ofNanos(load.peers().ageNanos(nowNanos)));
+  }
+
+  private Work updatePeers(ServerLoad load, BackendServer server) {
+    long version = peerReports.version();
+    Work reported = peerReports.at(load.incarnation());
+    double coveredMillis =
+        load.peers().update(reported.running(), version, peerReports.receivedNanos());
+    if (coveredMillis > 0) {
+      double ended = load.peers().mean() * coveredMillis / means.durationMillis(server.service());
+      load.cache().addUnknown((int) (ended * means.uncachedTokens(server.service())));
+    }
+    return reported;
   }
 
   int cachedTokens(BackendServer server, String model, List<PromptPart> prompt) {
-    PrefixCacheEstimate cache = prefixCaches.get(server.incarnation());
-    return cache == null ? 0 : cache.cachedTokens(model, prompt);
+    return load(server).cache().cachedTokens(model, prompt);
   }
 
   /**
    * Returns the in-flight requests at a backend server: this entry's and those reported by others.
    */
   public int totalInFlight(BackendServer server) {
-    return load(server).inFlight() + peerReports.at(server.incarnation()).running();
+    ServerLoad load = load(server);
+    return load.inFlight() + peerReports.at(load.incarnation()).running();
   }
 
   /** Returns the prefill time of the prompts queued at a backend server, from all entries. */
   public double totalPendingPrefillMillis(BackendServer server) {
-    return load(server).pendingPrefillMillis()
-        + peerReports.at(server.incarnation()).waitingMillis();
+    ServerLoad load = load(server);
+    return load.pendingPrefillMillis() + peerReports.at(load.incarnation()).waitingMillis();
   }
 
-  /** Returns the prefill time of the part of a prompt that is not in the prefix cache. */
-  double prefillMillis(BackendServer server, String model, List<PromptPart> prompt, int tokens) {
+  /** Returns the prefill time at speed 1 of some prompt tokens that follow cached ones. */
+  double prefillMillisAtSpeedOne(String model, int tokens, int cached) {
+    return prefillRates.millis(model, PrefillRateEstimator.work(tokens, cached));
+  }
+
+  /** Returns the time to the first event of a request whose prefill begins at once. */
+  double unqueuedMillis(BackendServer server, String model, List<PromptPart> prompt, int tokens) {
     int cached = cachedTokens(server, model, prompt);
-    return prefillRates.millis(model, Math.max(0, tokens - cached));
+    double atSpeedOne =
+        prefillRates.fixedMillis(model) + prefillMillisAtSpeedOne(model, tokens, cached);
+    return atSpeedOne / load(server).speed();
   }
 
   /** Returns the expected time to the first event of a request sent now. */
   public double expectedMillis(
       BackendServer server, String model, List<PromptPart> prompt, int tokens) {
-    return totalPendingPrefillMillis(server) + prefillMillis(server, model, prompt, tokens);
+    return totalPendingPrefillMillis(server) + unqueuedMillis(server, model, prompt, tokens);
+  }
+
+  /** Returns the mean duration of the requests of a service. */
+  double meanDurationMillis(BackendServer server) {
+    return means.durationMillis(server.service());
   }
 
   /** Returns the work that other entries reported. */
@@ -94,22 +169,38 @@
     return new ServerWork(work, notices);
   }
 
+  /** Records that an attempt without a known answer length was sent. */
+  PrefillEstimate onSent(
+      BackendServer server, String model, List<PromptPart> prompt, int tokens, long cacheTokens) {
+    return onSent(server, model, prompt, tokens, cacheTokens, 0);
+  }
+
   /** Records that an attempt was sent and returns the estimate of its prefill. */
   public PrefillEstimate onSent(
-      BackendServer server, String model, List<PromptPart> prompt, int tokens, long cacheTokens) {
-    int uncached = Math.max(0, tokens - cachedTokens(server, model, prompt));
+      BackendServer server,
+      String model,
+      List<PromptPart> prompt,
+      int tokens,
+      long cacheTokens,
+      int answerTokens) {
+    ServerLoad load = load(server);
+    int cached = load.cache().cachedTokens(model, prompt);
+    double work = PrefillRateEstimator.work(tokens, cached);
     PrefillEstimate prefill =
         new PrefillEstimate(
             model,
-            uncached,
-            prefillRates.millis(model, uncached),
-            totalPendingPrefillMillis(server) < EMPTY_QUEUE_MILLIS);
-    load(server).onSent(prefill.millis());
+            Math.max(0, tokens - cached),
+            work,
+            prefillRates.millis(model, work) / load.speed(),
+            prefillRates.fixedMillis(model) / load.speed(),
+            totalPendingPrefillMillis(server) < EMPTY_QUEUE_MILLIS,
+            (long) tokens + answerTokens);
+    load.onSent(prefill.millis());
+    load.addPromisedTokens(prefill.promisedTokens());
+    means.onSent(server.service(), prefill);
     long size = cacheTokens > 0 ? cacheTokens : DEFAULT_CACHE_TOKENS;
-    prefixCaches
-        .computeIfAbsent(
-            server.incarnation(), i -> new PrefixCacheEstimate((long) (size * CACHE_SHARE)))
-        .remember(model, prompt);
+    load.cache().resize(Math.max((long) (size * MIN_CACHE_SHARE), size - load.promisedTokens()));
+    load.cache().remember(model, prompt);
     return prefill;
   }
 
@@ -119,12 +210,53 @@
   }
 
   /** Records the time to the first event of an attempt. */
-  public void onFirstEvent(PrefillEstimate prefill, double millis) {
-    if (prefill.queueEmpty()) {
-      prefillRates.onUnqueuedFirstEvent(prefill.model(), prefill.tokens(), millis);
+  public void onFirstEvent(
+      BackendServer server, PrefillEstimate prefill, double millis, long sentNanos) {
+    if (!prefill.queueEmpty() || prefill.tokens() == 0 || server.coldAt(sentNanos)) {
+      return;
+    }
+    String model = prefill.model();
+    ServerLoad load = load(server);
+    if (prefillRates.isFitted(model)) {
+      double expected =
+          prefillRates.fixedMillis(model) + prefillRates.millis(model, prefill.work());
+      speeds.onTime(load.incarnation(), expected, millis);
+      load.setSpeed(speeds.speed(load.incarnation()));
+    }
+    prefillRates.onUnqueuedFirstEvent(model, prefill.work(), millis * load.speed());
+  }
+
+  /**
+   * Records the time of some work that is comparable between backend servers.
+   *
+   * @param kind identifies the work, such as the events of a model
+   */
+  public void onTime(BackendServer server, String kind, double millis, long sentNanos) {
+    if (!server.coldAt(sentNanos)) {
+      ServerLoad load = load(server);
+      speeds.onTime(load.incarnation(), kind, millis);
+      load.setSpeed(speeds.speed(load.incarnation()));
     }
   }
 
+  /** Returns what this entry has measured. */
+  Measurements ownMeasurements() {
+    return new Measurements(speeds.own(), prefillRates.own());
+  }
+
+  /** Gives earlier measurements less weight. */
+  void decayMeasurements(double factor) {
+    speeds.decay(factor);
+    prefillRates.decay(factor);
+  }
+
+  /** Uses the measurements of all entries, this one included. */
+  void useMeasurements(Measurements all) {
+    speeds.use(all.servers());
+    prefillRates.use(all.models());
+    loads.values().forEach(load -> load.setSpeed(speeds.speed(load.incarnation())));
+  }
+
   /** Records that data arrived from a backend server. */
   public void onReceived(BackendServer server, long nowNanos) {
     load(server).onReceived(nowNanos);
@@ -148,10 +280,18 @@
   }
 
   /** Records that an attempt has ended. */
-  public void onEnded(BackendServer server) {
+  void onEnded(BackendServer server) {
     load(server).onEnded();
   }
 
+  /** Records that an attempt has ended after some time. */
+  public void onEnded(BackendServer server, PrefillEstimate prefill, double millis) {
+    ServerLoad load = load(server);
+    load.onEnded();
+    load.addPromisedTokens(-prefill.promisedTokens());
+    means.onEnded(server.service(), millis);
+  }
+
   /** Records whether an attempt succeeded. */
   public void onOutcome(BackendServer server, boolean success, long nowNanos) {
     ServerLoad load = load(server);
@@ -179,6 +319,7 @@
             .map(Map.Entry::getKey)
             .collect(Collectors.toSet());
     loads.keySet().removeAll(idle);
-    prefixCaches.keySet().removeAll(idle);
+    speeds.retain(loads.keySet());
+    byRegistration.clear();
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PeerWorkReports.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PeerWorkReports.java
@@ -31,6 +31,8 @@
   private Set<String> localPeers = Set.of();
   private ServerWork total = ServerWork.NONE;
   private boolean outdated;
+  private long version;
+  private long receivedNanos;
 
   /** Sets which reports are used from now on. */
   void use(WorkSource nextSource, Members members) {
@@ -42,17 +44,17 @@
 
   void onReport(String entry, WorkReport report, long nowNanos) {
     byEntry.put(entry, new Received(entry, report.work(), nowNanos));
-    outdated = true;
+    onReceived(nowNanos);
   }
 
   void onDataCentreWork(String hub, DataCentreWork report, long nowNanos) {
     byDataCentre.put(report.dataCentre(), new Received(hub, report.work(), nowNanos));
-    outdated = true;
+    onReceived(nowNanos);
   }
 
   void onSummary(String hub, WorkSummary received, long nowNanos) {
     summary = new Received(hub, received.work(), nowNanos);
-    outdated = true;
+    onReceived(nowNanos);
   }
 
   /** Drops what has expired. */
@@ -86,6 +88,7 @@
   ServerWork total() {
     if (outdated) {
       outdated = false;
+      version++;
       total =
           switch (source) {
             case ENTRIES -> sum(byEntry, name -> true);
@@ -100,6 +103,22 @@
     return total().at(incarnation);
   }
 
+  /** Returns a number that changes whenever the total may have changed. */
+  long version() {
+    var unused = total();
+    return version;
+  }
+
+  /** Returns the monotonic time at which the latest report arrived. */
+  long receivedNanos() {
+    return receivedNanos;
+  }
+
+  private void onReceived(long nowNanos) {
+    outdated = true;
+    receivedNanos = nowNanos;
+  }
+
   private static ServerWork sum(Map<String, Received> reports, Predicate<String> included) {
     ServerWork sum = ServerWork.NONE;
     for (Map.Entry<String, Received> report : reports.entrySet()) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerLoad.java
@@ -14,6 +14,14 @@
   /** Attempts sent this much later are not in the same batch of the engine. */
   private static final long LATER_ATTEMPT_NANOS = 200_000_000;
 
+  private final String incarnation;
+  private final long idHash;
+  private final PeerLoad peers = new PeerLoad();
+  private final PrefixCacheEstimate cache = new PrefixCacheEstimate(0);
+  private int slots;
+  private long memoryTokens;
+  private double speed = 1;
+  private long promisedTokens;
   private int inFlight;
   private double pendingPrefillMillis;
   private double attempts;
@@ -26,6 +34,59 @@
   private long latestAnsweredNanos;
   private boolean answered;
 
+  ServerLoad(String incarnation, String id) {
+    this.incarnation = incarnation;
+    this.idHash = Hash64.of(id);
+  }
+
+  String incarnation() {
+    return incarnation;
+  }
+
+  /** Returns a hash of the server's id that is the same at all entries. */
+  long idHash() {
+    return idHash;
+  }
+
+  PeerLoad peers() {
+    return peers;
+  }
+
+  PrefixCacheEstimate cache() {
+    return cache;
+  }
+
+  /** Sets the capacity that is registered or configured; 0 if unknown. */
+  void setCapacity(int newSlots, long newMemoryTokens) {
+    slots = newSlots;
+    memoryTokens = newMemoryTokens;
+  }
+
+  int slots() {
+    return slots;
+  }
+
+  long memoryTokens() {
+    return memoryTokens;
+  }
+
+  void setSpeed(double newSpeed) {
+    speed = newSpeed;
+  }
+
+  double speed() {
+    return speed;
+  }
+
+  /** Returns the prompts and expected answers of this entry's requests, in tokens. */
+  long promisedTokens() {
+    return promisedTokens;
+  }
+
+  void addPromisedTokens(long tokens) {
+    promisedTokens += tokens;
+  }
+
   /** Records that the answer to an attempt sent at this time has started. */
   void onAnswerStarted(long sentNanos) {
     if (!answered || sentNanos - latestAnsweredNanos > 0) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
@@ -36,7 +36,7 @@
   public static final Duration PERIOD = Duration.ofMillis(100);
 
   /** Largest number of entries that all report to one another; up to here this costs little. */
-  private static final int MAX_MESH_ENTRIES = 12;
+  static final int MAX_MESH_ENTRIES = 12;
 
   /** Minimum interval of reports to or from the hub; two hops take less time than a prefill. */
   private static final Duration HUB_INTERVAL = Duration.ofMillis(190);
@@ -45,7 +45,7 @@
   private static final Duration CROSS_DATA_CENTRE_INTERVAL = Duration.ofMillis(290);
 
   /** Entries of a data centre that are sent its reports while its hub is not known. */
-  private static final int LIKELY_HUBS = 2;
+  static final int LIKELY_HUBS = 2;
 
   /** An unchanged report is sent again before it expires at the receivers. */
   private static final Duration REFRESH_INTERVAL = PeerWorkReports.MAX_AGE.dividedBy(2);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
@@ -111,7 +111,8 @@
       firstEventNanos = lastReceivedNanos;
     }
     if (isFirst && !prefillFinished) {
-      loads.onFirstEvent(prefill, (lastReceivedNanos - sentNanos) / NANOS_PER_MILLI);
+      loads.onFirstEvent(
+          server, prefill, (lastReceivedNanos - sentNanos) / NANOS_PER_MILLI, sentNanos);
     }
   }
 
@@ -131,10 +132,15 @@
     }
   }
 
+  /** Returns the time to the first event that was expected when the attempt was sent. */
+  Duration estimate() {
+    return estimate;
+  }
+
   /** Records that the attempt has ended. */
-  void onEnd() {
+  void onEnd(long nowNanos) {
     onPrefillFinished();
-    loads.onEnded(server);
+    loads.onEnded(server, prefill, (nowNanos - sentNanos) / NANOS_PER_MILLI);
   }
 
   StalledAttemptPolicy.Observation observe(long nowNanos, long deadlineNanos) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
@@ -53,7 +53,8 @@
             model.orElse(""),
             request.caller().prompt(),
             request.caller().promptTokens(),
-            cacheTokens);
+            cacheTokens,
+            request.caller().answerTokens());
     log.attemptSent(
         chosen,
         model,
@@ -63,7 +64,12 @@
     boolean comparable =
         loads.totalInFlight(chosen) <= Math.max(1, COMPARABLE_LOAD * chosen.slots());
     return new AttemptProgress(
-        loads, chosen, prefill, pendingPrefillMillis + prefill.millis(), comparable, now);
+        loads,
+        chosen,
+        prefill,
+        pendingPrefillMillis + prefill.fixedMillis() + prefill.millis(),
+        comparable,
+        now);
   }
 
   /**
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendSelector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendSelector.java
@@ -63,6 +63,7 @@
             model,
             request.caller().prompt(),
             request.caller().promptTokens(),
+            request.caller().answerTokens(),
             nowNanos));
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -457,7 +457,7 @@
 
   private void endAttempt() {
     if (progress != null) {
-      progress.onEnd();
+      progress.onEnd(shared.ticker().read());
       progress = null;
     }
     attempt = null;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
@@ -34,7 +34,13 @@
 
   /** Reports that the answer to an attempt begins now. */
   void reportBegin(AttemptProgress attempt, Optional<String> model, long now) {
-    reportTiming(attempt, model, millisSince(attempt, now));
+    double millis = millisSince(attempt, now);
+    reportTiming(attempt, model, millis);
+    if (readsPrompt) {
+      shared.metrics().onFirstEvent(attempt.estimate().toMillis(), Math.round(millis));
+    } else if (attempt.isComparable()) {
+      shared.loads().onTime(attempt.server(), "plain/" + route.name(), millis, attempt.sentNanos());
+    }
   }
 
   /** Reports an attempt whose answer has not begun if it is very slow by now. */
@@ -65,11 +71,14 @@
     attempt
         .paceMillis()
         .ifPresent(
-            millis ->
-                shared
-                    .rollouts()
-                    .onPace(
-                        plan.service(), server.version(), route.name(), workKind(model), millis));
+            millis -> {
+              shared
+                  .rollouts()
+                  .onPace(plan.service(), server.version(), route.name(), workKind(model), millis);
+              shared
+                  .loads()
+                  .onTime(server, "pace/" + model.orElse(""), millis, attempt.sentNanos());
+            });
   }
 
   private static double millisSince(AttemptProgress attempt, long now) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -31,13 +31,15 @@
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
 import org.guavagw.gateway.internal.peers.HubSelector;
+import org.guavagw.gateway.internal.peers.MeasurementReport;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
 import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.internal.peers.WorkReport;
 import org.guavagw.gateway.internal.peers.WorkSummary;
-import org.guavagw.gateway.internal.placement.AffinityPlacer;
 import org.guavagw.gateway.internal.placement.LoadTracker;
+import org.guavagw.gateway.internal.placement.MeasurementExchange;
+import org.guavagw.gateway.internal.placement.RequestPlacer;
 import org.guavagw.gateway.internal.placement.WorkReportReceiver;
 import org.guavagw.gateway.internal.placement.WorkReportSender;
 import org.guavagw.gateway.internal.quarantine.SuspectStore;
@@ -47,6 +49,7 @@
 import org.guavagw.gateway.internal.rollout.VersionSelector;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.model.CallerLimits;
+import org.guavagw.gateway.model.EngineSpec;
 import org.guavagw.gateway.model.GatewayConfig;
 import org.guavagw.gateway.model.ServiceSpec;
 import org.guavagw.gateway.spi.RelayFormat;
@@ -78,7 +81,7 @@
   private final CurrentControlView currentView;
   private final Supplier<Members> members;
   private final Ticker ticker;
-  private final LoadTracker loads = new LoadTracker();
+  private final LoadTracker loads = new LoadTracker(this::engineOf);
   private final ServerAvailability availability;
   private final CrashGuard crashGuard;
   private final SuspectStore suspects;
@@ -172,6 +175,7 @@
     forwarding.accept(settings.peerAddress(), connectionDependencies);
     runPeriodicTasks(lag);
     exchangeReports(peers, versions, log, metrics);
+    exchangeMeasurements(peers, hubSelector, metrics);
     serveGauges(metrics, lag, connectionDependencies.connections());
   }
 
@@ -252,6 +256,24 @@
     suspects.onRead(read -> eventLoop.execute(() -> onSuspectsRead(read)));
   }
 
+  private void exchangeMeasurements(
+      PeerMessenger peers, HubSelector hubSelector, GatewayMetrics metrics) {
+    MeasurementExchange exchange =
+        new MeasurementExchange(loads, members, hubSelector, peers::send, metrics);
+    peers.onMessage(
+        MeasurementReport.class,
+        (from, message) -> exchange.onReport(from.memberId(), message, ticker.read()));
+    runEvery(MeasurementExchange.PERIOD, () -> exchange.tick(ticker.read()));
+  }
+
+  private Optional<EngineSpec> engineOf(String service) {
+    return currentView
+        .get()
+        .config()
+        .flatMap(c -> Optional.ofNullable(c.services().get(service)))
+        .flatMap(ServiceSpec::engine);
+  }
+
   private int maxBackendConnections() {
     return currentView.get().config().stream()
         .flatMap(c -> c.services().values().stream())
@@ -288,8 +310,8 @@
 
   private BackendSelector newSelector(
       VersionSelector versions, ColdStartLimiter coldStartLimiter, String dataCentre) {
-    return new BackendSelector(
-        versions, coldStartLimiter, availability, new AffinityPlacer(loads), dataCentre);
+    var placer = new RequestPlacer(loads, () -> ThreadLocalRandom.current().nextDouble());
+    return new BackendSelector(versions, coldStartLimiter, availability, placer, dataCentre);
   }
 
   private void probe(BackendServer server) {
