Compare a random sample of engines, more of them for long prompts

Cause: entries that compare all engines by the same report all choose the one that looked idle.

Change: beside the two servers preferred for the shared parts and those that hold them, an entry compares two of its data centre and one more for each 60 ms of prefill.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
@@ -12,7 +12,8 @@
  * the part of this prompt that is not in its prefix cache, at the speed of the server. Servers with
  * room come before full ones. For a prompt whose shared parts no backend server is known to have
  * cached, all entries prefer the same two by rendezvous hashing, as far as that saves prefill time.
- * Other choices are spread, as entries decide by the same reports. Confined to the traffic thread.
+ * Beside them an entry compares a random sample of the servers, as others decide by the same
+ * reports. Confined to the traffic thread.
  */
 public final class AffinityPlacer implements Placer {
   /** Cost of each in-flight request: its decoding steps delay the prefill of other prompts. */
@@ -24,8 +25,17 @@
   /** Cost at a failure rate of 100 %; scaled by the recent failure rate. */
   private static final double FAILURE_COST_MILLIS = 2000;
 
-  /** Difference of expected times within which the choices of entries are spread. */
-  private static final double SPREAD_MILLIS = 40;
+  /** Cost of a server outside the random sample that an entry compares. */
+  private static final double UNSAMPLED_COST_MILLIS = 100;
+
+  /** Servers of a data centre that are compared for the shortest prompt. */
+  private static final double MIN_SAMPLE = 2;
+
+  /** Prefill time for which one server more is compared; long prompts are few. */
+  private static final double MILLIS_PER_SAMPLED_SERVER = 60;
+
+  /** Largest cost that decides between servers that are otherwise alike. */
+  private static final double TIE_MILLIS = 1;
 
   /** Largest cost of a server that is not preferred for the shared parts of a prompt. */
   private static final double MAX_SHARING_COST_MILLIS = 150;
@@ -47,9 +57,12 @@
 
   @Override
   public Placement place(PlacementQuery query) {
-    double sharingCost = sharingCost(query);
-    Preference preference = sharingCost > 0 ? preference(query) : Preference.NONE;
-    long spreadKey = Hash64.of(spreadKey(query));
+    int sharedTokens = sharedTokens(query.prompt());
+    double sharingCost =
+        Math.min(
+            MAX_SHARING_COST_MILLIS, loads.prefillMillisAtSpeedOne(query.model(), sharedTokens, 0));
+    Preference preference = sharedTokens > 0 ? preference(query) : Preference.NONE;
+    Sample sample = sample(query);
     BackendServer best = null;
     ServerSnapshot bestState = null;
     double bestCost = Double.MAX_VALUE;
@@ -63,8 +76,11 @@
       if (tier > bestTier) {
         continue;
       }
-      double cost = cost(server, state, query) + sharingCost * preference.costShare(server);
-      cost += Hash64.unit(spreadKey, loads.load(server).idHash()) * SPREAD_MILLIS;
+      double cost = cost(server, state, query);
+      if (!isMostlyCached(server, sharedTokens, query)) {
+        cost += sharingCost * preference.costShare(server);
+        cost += preference.includes(server) ? 0 : sampleCost(server, sample, query);
+      }
       if (tier < bestTier || cost < bestCost) {
         best = server;
         bestState = state;
@@ -107,14 +123,18 @@
     return isLocal(server, query) ? cost : cost + OTHER_DATA_CENTRE_COST_MILLIS;
   }
 
-  /** Returns the prefill time that a later request with the same shared parts would save. */
-  private double sharingCost(PlacementQuery query) {
+  /** Returns the tokens of the parts that other requests may share; the last one is its own. */
+  private static int sharedTokens(List<PromptPart> prompt) {
     int shared = 0;
-    for (int i = 0; i < query.prompt().size() - 1; i++) {
-      shared += query.prompt().get(i).tokens();
+    for (int i = 0; i < prompt.size() - 1; i++) {
+      shared += prompt.get(i).tokens();
     }
-    return Math.min(
-        MAX_SHARING_COST_MILLIS, loads.prefillMillisAtSpeedOne(query.model(), shared, 0));
+    return shared;
+  }
+
+  private boolean isMostlyCached(BackendServer server, int sharedTokens, PlacementQuery query) {
+    return sharedTokens > 0
+        && 2 * loads.cachedTokens(server, query.model(), query.prompt()) > sharedTokens;
   }
 
   /** Returns the servers that all entries of this data centre prefer for the shared parts. */
@@ -149,11 +169,24 @@
     return -Math.log(Hash64.unit(key, load.idHash())) / Math.pow(2, steps * SPEED_STEP);
   }
 
-  private static String spreadKey(PlacementQuery query) {
+  private Sample sample(PlacementQuery query) {
+    int local = 0;
+    for (BackendServer server : query.candidates()) {
+      local += isLocal(server, query) ? 1 : 0;
+    }
+    int remote = query.candidates().size() - local;
+    double prefillMillis = loads.prefillMillisAtSpeedOne(query.model(), query.promptTokens(), 0);
+    double size = MIN_SAMPLE + prefillMillis / MILLIS_PER_SAMPLED_SERVER;
     int parts = query.prompt().size();
-    return parts == 0
-        ? Long.toString(query.nowNanos())
-        : query.prompt().get(parts - 1).id() + query.nowNanos();
+    String request = parts == 0 ? "" : query.prompt().get(parts - 1).id();
+    long key = Hash64.of(request + query.nowNanos());
+    return new Sample(key, size / Math.max(1, local), size / Math.max(1, remote));
+  }
+
+  private double sampleCost(BackendServer server, Sample sample, PlacementQuery query) {
+    double position = Hash64.unit(sample.key(), loads.load(server).idHash());
+    boolean sampled = position < (isLocal(server, query) ? sample.local() : sample.remote());
+    return sampled ? position * TIE_MILLIS : UNSAMPLED_COST_MILLIS;
   }
 
   private boolean isExcluded(BackendServer server, PlacementQuery query) {
@@ -169,6 +202,10 @@
   private record Preference(BackendServer first, BackendServer second) {
     private static final Preference NONE = new Preference(null, null);
 
+    boolean includes(BackendServer server) {
+      return costShare(server) < 1;
+    }
+
     /** Returns the part of the sharing cost that a server has. */
     @SuppressWarnings("ReferenceEquality") // candidates of one query
     double costShare(BackendServer server) {
@@ -178,4 +215,7 @@
       return server == second ? SECOND_CHOICE_SHARE : 1;
     }
   }
+
+  /** Which part of the servers is compared, here and in other data centres. Immutable. */
+  private record Sample(long key, double local, double remote) {}
 }
