--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
@@ -44,6 +44,11 @@
     forwardedRequests.inc();
   }
 
+  /** Counts an attempt by what decided where it was sent. */
+  public void onPlaced(String reason) {
+    registry.counter("placements." + reason).inc();
+  }
+
   /** Records how far the time to the first event was from what placement expected. */
   public void onFirstEvent(long expectedMillis, long measuredMillis) {
     long error = measuredMillis - expectedMillis;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
@@ -147,6 +147,11 @@
     return totalPendingPrefillMillis(server) + unqueuedMillis(server, model, prompt, tokens);
   }
 
+  /** Returns the speed of a backend server relative to others of its service. */
+  public double speed(BackendServer server) {
+    return load(server).speed();
+  }
+
   /** Returns the mean duration of the requests of a service. */
   double meanDurationMillis(BackendServer server) {
     return means.durationMillis(server.service());
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/RequestMeans.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/RequestMeans.java
@@ -5,7 +5,9 @@
 
 /** Mean figures of the requests of each service, from those of this entry. Not thread-safe. */
 final class RequestMeans {
+  /** Weight of the newest request once there are many. */
   private static final double NEWEST_WEIGHT = 0.05;
+
   private static final double DEFAULT_DURATION_MILLIS = 500;
   private static final double MIN_DURATION_MILLIS = 1;
 
@@ -13,13 +15,15 @@
 
   void onSent(String service, PrefillEstimate prefill) {
     Means means = byService.computeIfAbsent(service, s -> new Means());
-    means.tokens += NEWEST_WEIGHT * (prefill.promisedTokens() - means.tokens);
-    means.uncachedTokens += NEWEST_WEIGHT * (prefill.tokens() - means.uncachedTokens);
+    double weight = Math.max(NEWEST_WEIGHT, 1.0 / ++means.sent);
+    means.tokens += weight * (prefill.promisedTokens() - means.tokens);
+    means.uncachedTokens += weight * (prefill.tokens() - means.uncachedTokens);
   }
 
   void onEnded(String service, double millis) {
     Means means = byService.computeIfAbsent(service, s -> new Means());
-    means.durationMillis += NEWEST_WEIGHT * (millis - means.durationMillis);
+    double weight = Math.max(NEWEST_WEIGHT, 1.0 / ++means.ended);
+    means.durationMillis += weight * (millis - means.durationMillis);
   }
 
   double durationMillis(String service) {
@@ -44,6 +48,8 @@
   /** Means of one service. */
   private static final class Means {
     private double durationMillis = DEFAULT_DURATION_MILLIS;
+    private int sent;
+    private int ended;
     private double tokens;
     private double uncachedTokens;
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
@@ -61,6 +61,7 @@
         prefill,
         loads.totalInFlight(chosen),
         loads.totalPendingPrefillMillis(chosen));
+    shared.metrics().onPlaced(reason(chosen, prefill));
     boolean comparable =
         loads.totalInFlight(chosen) <= Math.max(1, COMPARABLE_LOAD * chosen.slots());
     return new AttemptProgress(
@@ -72,6 +73,13 @@
         now);
   }
 
+  private String reason(BackendServer chosen, PrefillEstimate prefill) {
+    if (!chosen.dataCentre().equals(shared.members().get().localDataCentre())) {
+      return "other_data_centre";
+    }
+    return prefill.tokens() < request.caller().promptTokens() ? "kept_prompt" : "local";
+  }
+
   /**
    * Sends an attempt; the forwarder may learn of its failure before this method returns.
    *
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
@@ -35,6 +35,7 @@
             .with("data_centre", server.dataCentre())
             .with("running_there", inFlight)
             .with("waiting_there_ms", Math.round(pendingPrefillMillis))
+            .with("speed_percent", Math.round(shared.loads().speed(server) * 100))
             .with("tokens_to_read", prefill.tokens())
             .with("reading_ms", Math.round(prefill.millis()));
     model.ifPresent(m -> line.with("model", m));
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
@@ -58,6 +58,13 @@
         .isEqualTo(dataCentreWork);
     assertThat(codec.decode(codec.encode(summary), WorkSummary.class)).isEqualTo(summary);
     assertThat(codec.decode(codec.encode(rejection), RolloutRejection.class)).isEqualTo(rejection);
+    MeasurementReport measured =
+        new MeasurementReport(
+            MeasurementReport.Scope.DATA_CENTRE,
+            "dc1",
+            new Measurements(
+                Map.of("w1", new SampleSum(3, -0.5)), Map.of("m", PrefillSums.of(800, 40, 0.5))));
+    assertThat(codec.decode(codec.encode(measured), MeasurementReport.class)).isEqualTo(measured);
     SessionReport sessions = new SessionReport("v1", Set.of("s1", "s2"));
     assertThat(codec.decode(codec.encode(sessions), SessionReport.class)).isEqualTo(sessions);
   }
