Look up the kept parts of a prompt once for each server

Cause: a decision built the keys of the parts twice for each server.

Change: the number of kept tokens is passed on.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/AffinityPlacer.java
@@ -76,8 +76,9 @@
       if (tier > bestTier) {
         continue;
       }
-      double cost = cost(server, state, query);
-      if (!isMostlyCached(server, sharedTokens, query)) {
+      int cached = loads.cachedTokens(server, query.model(), query.prompt());
+      double cost = cost(server, state, cached, query);
+      if (sharedTokens == 0 || 2 * cached <= sharedTokens) {
         cost += sharingCost * preference.costShare(server);
         cost += preference.includes(server) ? 0 : sampleCost(server, sample, query);
       }
@@ -94,8 +95,8 @@
   private Placement placed(BackendServer server, ServerSnapshot state, PlacementQuery query) {
     boolean room = hasRoom(state, query);
     double wait = state.pendingPrefillMillis() + (room ? 0 : slotWaitMillis(server, state));
-    double unqueued =
-        loads.unqueuedMillis(server, query.model(), query.prompt(), query.promptTokens());
+    int cached = loads.cachedTokens(server, query.model(), query.prompt());
+    double unqueued = loads.unqueuedMillis(server, query.model(), query.promptTokens(), cached);
     return new Placement.Placed(server, wait, wait + unqueued, room);
   }
 
@@ -115,9 +116,10 @@
     return state.running() == 0 || state.hasRoom(query.tokens());
   }
 
-  private double cost(BackendServer server, ServerSnapshot state, PlacementQuery query) {
+  private double cost(
+      BackendServer server, ServerSnapshot state, int cached, PlacementQuery query) {
     double cost = state.pendingPrefillMillis();
-    cost += loads.unqueuedMillis(server, query.model(), query.prompt(), query.promptTokens());
+    cost += loads.unqueuedMillis(server, query.model(), query.promptTokens(), cached);
     cost += state.running() * IN_FLIGHT_COST_MILLIS / state.speed();
     cost += loads.load(server).failureRate(query.nowNanos()) * FAILURE_COST_MILLIS;
     return isLocal(server, query) ? cost : cost + OTHER_DATA_CENTRE_COST_MILLIS;
@@ -132,11 +134,6 @@
     return shared;
   }
 
-  private boolean isMostlyCached(BackendServer server, int sharedTokens, PlacementQuery query) {
-    return sharedTokens > 0
-        && 2 * loads.cachedTokens(server, query.model(), query.prompt()) > sharedTokens;
-  }
-
   /** Returns the servers that all entries of this data centre prefer for the shared parts. */
   private Preference preference(PlacementQuery query) {
     List<PromptPart> prompt = query.prompt();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/LoadTracker.java
@@ -134,8 +134,7 @@
   }
 
   /** Returns the time to the first event of a request whose prefill begins at once. */
-  double unqueuedMillis(BackendServer server, String model, List<PromptPart> prompt, int tokens) {
-    int cached = cachedTokens(server, model, prompt);
+  double unqueuedMillis(BackendServer server, String model, int tokens, int cached) {
     double atSpeedOne =
         prefillRates.fixedMillis(model) + prefillMillisAtSpeedOne(model, tokens, cached);
     return atSpeedOne / load(server).speed();
@@ -144,7 +143,8 @@
   /** Returns the expected time to the first event of a request sent now. */
   public double expectedMillis(
       BackendServer server, String model, List<PromptPart> prompt, int tokens) {
-    return totalPendingPrefillMillis(server) + unqueuedMillis(server, model, prompt, tokens);
+    int cached = cachedTokens(server, model, prompt);
+    return totalPendingPrefillMillis(server) + unqueuedMillis(server, model, tokens, cached);
   }
 
   /** Returns the speed of a backend server relative to others of its service. */
