Send measurement reports before there is anything to report

The first report was written and read on the traffic thread while callers waited, and the first use of its types is the most expensive one.

Change: empty reports are sent too, so that this happens before the traffic.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Measurements.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/Measurements.java
@@ -26,9 +26,4 @@
     other.models.forEach((name, sum) -> modelSums.merge(name, sum, PrefillSums::plus));
     return new Measurements(serverSums, modelSums);
   }
-
-  /** Returns whether nothing was measured. */
-  public boolean isEmpty() {
-    return servers.isEmpty() && models.isEmpty();
-  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/MeasurementExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/MeasurementExchange.java
@@ -129,10 +129,9 @@
   }
 
   private void send(String receiver, Scope scope, Measurements measurements) {
-    if (!measurements.isEmpty()) {
-      String dataCentre = members.get().localDataCentre();
-      send.accept(receiver, new MeasurementReport(scope, dataCentre, measurements));
-    }
+    // Empty reports are sent too, so that serialization is set up before there is traffic.
+    String dataCentre = members.get().localDataCentre();
+    send.accept(receiver, new MeasurementReport(scope, dataCentre, measurements));
   }
 
   private static Measurements sum(Map<String, Received> received, Set<String> origins) {
