--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerRoomTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerRoomTest.java
@@ -19,6 +19,7 @@
 import org.guavagw.gateway.spi.PromptPart;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Loads on servers with few slots, engines with little memory, and servers of three speeds. */
@@ -76,6 +77,26 @@
     }
   }
 
+  /** Load: a server that others reported as full a while ago, for short and for long requests. */
+  @ParameterizedTest
+  @CsvSource({"30, true", "5000, false"})
+  void shouldTakeAReportForWhatItIsWorthAfterItsAge(double durationMillis, boolean room) {
+    BackendServer server = Samples.server("s", "dc", "v1");
+    for (int i = 0; i < 50; i++) {
+      loads.onEnded(server, loads.onSent(server, "", List.of(), 0, 0), durationMillis);
+    }
+    for (int report = 1; report <= 10; report++) {
+      int running = report < 10 ? 2 : 8;
+      var work = Map.of(server.incarnation(), new ServerWork.Work(running, 0));
+      long now = report * 200 * NANOS_PER_MILLI;
+      loads
+          .peerReports()
+          .onReport("other", new WorkReport(new ServerWork(work, ServerNotices.NONE)), now);
+      assertThat(loads.at(server, now).slots()).isEqualTo(8);
+    }
+    assertThat(loads.at(server, 2300 * NANOS_PER_MILLI).hasRoom(0)).isEqualTo(room);
+  }
+
   /** Load: prompts of 30 to 50 % of the memory of an engine. */
   @Test
   void shouldNotPromiseTheMemoryOfAnEngineTwice() {
