--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerRoomTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerRoomTest.java
@@ -88,7 +88,7 @@
     for (int report = 1; report <= 10; report++) {
       int running = report < 10 ? 2 : 8;
       var work = Map.of(server.incarnation(), new ServerWork.Work(running, 0));
-      long now = report * 200 * NANOS_PER_MILLI;
+      long now = report * 200L * NANOS_PER_MILLI;
       loads
           .peerReports()
           .onReport("other", new WorkReport(new ServerWork(work, ServerNotices.NONE)), now);
