--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptSender.java
@@ -53,17 +53,31 @@
             model.orElse(""),
             request.caller().prompt(),
             request.caller().promptTokens(),
-            cacheTokens);
+            cacheTokens,
+            request.caller().answerTokens());
     log.attemptSent(
         chosen,
         model,
         prefill,
         loads.totalInFlight(chosen),
         loads.totalPendingPrefillMillis(chosen));
+    shared.metrics().onPlaced(reason(chosen, prefill));
     boolean comparable =
         loads.totalInFlight(chosen) <= Math.max(1, COMPARABLE_LOAD * chosen.slots());
     return new AttemptProgress(
-        loads, chosen, prefill, pendingPrefillMillis + prefill.millis(), comparable, now);
+        loads,
+        chosen,
+        prefill,
+        pendingPrefillMillis + prefill.fixedMillis() + prefill.millis(),
+        comparable,
+        now);
+  }
+
+  private String reason(BackendServer chosen, PrefillEstimate prefill) {
+    if (!chosen.dataCentre().equals(shared.members().get().localDataCentre())) {
+      return "other_data_centre";
+    }
+    return prefill.tokens() < request.caller().promptTokens() ? "kept_prompt" : "local";
   }
 
   /**
