Count the calls to the store by table, cause and result

Change: CountingStore passes all calls on and counts each one when its result is known. A cause is start, reload, poll, catch-up, retry or write; it follows from the call and from the one before it for the same table.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -5,10 +5,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.guavagw.gateway.internal.cascade.ConfidenceCascade;
 import org.guavagw.gateway.internal.control.ControlPlane;
 import org.guavagw.gateway.internal.control.ControlState;
+import org.guavagw.gateway.internal.control.CountingStore;
 import org.guavagw.gateway.internal.control.CurrentControlView;
 import org.guavagw.gateway.internal.control.HubTiming;
 import org.guavagw.gateway.internal.control.MemberTable;
@@ -69,7 +71,7 @@
     EventLoop controlLoop = control.group().next();
     ControlFormat format = adapter.controlFormat();
     this.currentView = new CurrentControlView(clocks);
-    ControlStore store = closer.register(adapter.openStore(control, controlLoop, metrics));
+    ControlStore store = closer.register(openStore(adapter, control, controlLoop, metrics));
     ControlState state = new ControlState(format, currentView, controlLoop, clocks, log);
     PeerMessenger peers = closer.register(openPeers(trafficLoop, metrics));
     MemberTable members =
@@ -116,6 +118,14 @@
     start(peers, plane, rollouts);
   }
 
+  private static ControlStore openStore(
+      GatewayAdapter adapter, Transport control, EventLoop controlLoop, GatewayMetrics metrics) {
+    return new CountingStore(
+        adapter.openStore(control, controlLoop, metrics),
+        (table, cause, result) ->
+            metrics.onStoreCallOf(table, cause.name().toLowerCase(Locale.ROOT), result));
+  }
+
   private PeerMessenger openPeers(EventLoop trafficLoop, GatewayMetrics metrics) {
     return new PeerMessenger(
         settings.nodeName(),
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
@@ -43,7 +43,7 @@
   private static final Duration CHANGE_DELIVERY_TIME = Duration.ofMillis(150);
 
   /** Poll timeout of a call that is to be answered at once. */
-  private static final Duration IMMEDIATE_POLL_TIMEOUT = Duration.ofMillis(1);
+  static final Duration IMMEDIATE_POLL_TIMEOUT = Duration.ofMillis(1);
 
   private final TableReplica replica;
   private final PollTiming timing;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/metrics/GatewayMetrics.java
@@ -46,6 +46,11 @@
     registry.counter("store_calls." + call + "." + result).inc();
   }
 
+  /** Counts a call to the store by table and cause. */
+  public void onStoreCallOf(String table, String cause, String result) {
+    registry.counter("store_calls_for." + table + "." + cause + "." + result).inc();
+  }
+
   /** Counts a work report of another entry that cannot be true. */
   public void onImplausibleReport() {
     ignoredWorkReports.inc();
