Spread retries of the store, and lengthen them as an outage goes on

Cause: an entry that had lost the store called it each half second without end, and entries that lost it together called it together.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/TablePoller.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.spi.ControlStore;
@@ -18,20 +19,8 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class TablePoller {
-  /**
-   * Pause after a failed call: short compared with the time limit for applying a configuration,
-   * long compared with a call.
-   */
-  private static final Duration RETRY_PAUSE = Duration.ofMillis(250);
-
-  /** Longest pause after failed calls; limits the load on a store that is down. */
-  private static final Duration MAX_RETRY_PAUSE = Duration.ofMillis(500);
-
-  /** Consecutive failures up to which the shorter pause is used. */
-  private static final int MAX_QUICK_RETRIES = 2;
-
-  /** Pause while the probe table detects the end of the outage, which ends the pause early. */
-  private static final Duration PROBED_RETRY_PAUSE = Duration.ofSeconds(4);
+  /** Pause after an answer of an earlier era of the store. */
+  private static final Duration STALE_ANSWER_PAUSE = Duration.ofMillis(250);
 
   /**
    * Tolerance for clocks and timers when an empty answer shows how long the store waited for
@@ -54,12 +43,16 @@
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final EventLog log;
+  private final RetryPauses pauses =
+      new RetryPauses(() -> ThreadLocalRandom.current().nextDouble());
   private boolean historyLost;
   private boolean answerPending;
   private boolean versionCheckScheduled;
   private long sentNanos;
   private boolean awaitingFirstPoll;
   private boolean running;
+  private boolean patient;
+  private boolean succeeded;
   private boolean catchingUp;
   private int failures;
   private long generation;
@@ -85,9 +78,20 @@
     this.log = log;
   }
 
+  /** Sets whether failed calls are retried rarely, as other entries detect the end of an outage. */
+  void setPatient(boolean newPatient) {
+    patient = newPatient;
+  }
+
+  /** Returns whether it is polling and its last call did not fail. */
+  boolean isSucceeding() {
+    return running && succeeded && failures == 0;
+  }
+
   /** Starts polling from the version of the replica; does nothing if already started. */
   void start() {
     if (!running) {
+      succeeded = false;
       running = true;
       generation++;
       catchingUp = true;
@@ -214,7 +218,7 @@
           .with("era", answered.getAsLong())
           .with("newest_era", era.current())
           .write();
-      callAfter(RETRY_PAUSE);
+      callAfter(STALE_ANSWER_PAUSE);
     }
     return newest;
   }
@@ -282,6 +286,7 @@
 
   private void onSuccess() {
     failures = 0;
+    succeeded = true;
     catchingUp = false;
     if (health.onSuccess(replica.table())) {
       log.event("dependency_regained")
@@ -313,13 +318,6 @@
     }
     failures++;
     catchingUp = true;
-    callAfter(retryPause());
-  }
-
-  private Duration retryPause() {
-    if (health.waitsForProbe(replica.table())) {
-      return PROBED_RETRY_PAUSE;
-    }
-    return failures > MAX_QUICK_RETRIES ? MAX_RETRY_PAUSE : RETRY_PAUSE;
+    callAfter(pauses.after(failures, health.waitsForProbe(replica.table()), patient));
   }
 }
