Turn to another entry before the store, at the start and after a loss

Cause: a follower that lost its hub read all four tables from the store, then polled them until it looked for a hub again after 2 s; so did each entry that started. While the store was away, all followers retried it.

Change: - HubSelector ranks the entries that one may follow and tells readers, which read the store for others, from the rest. Silent entries are avoided for 8 s; those that refused or were slow are passed over and asked again. - HubFollower goes from one to the next and reads the store after 0.45 s without an answer, the orders first. If all have said that they lost the store, it calls it once after 0.5 to 1.5 s, then every 5 s (ControlStorePolling). It leaves a hub as soon as the orders are too old, whether or not the hub answers. - An entry that starts reads the table of the entries and asks one of them for the rest, by the query that followers send; builds before answer it, too. - ReplicaServer answers the first query of a follower at once, and leaves its own hub when asked while its orders are too old.

Tests: StoreCallsTest in virtual time with 80 entries in a region of four data centres: start, restart of a quarter and of all, a reader that dies, reaches nobody, is refused or whose store is silent, each data centre cut off from the others, the store refusing or silent for 4.5 s; all within the limit for a configuration.

Three tests of HubFollowerTest expected the store to be read at once after a hub was left; they now expect another entry to be asked at once, and the store to be read after the longest search.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -78,7 +78,7 @@
         new MemberTable(self(), store, format, controlLoop, log, peers::onMembers);
     SuspectTable suspects = new SuspectTable(self(), store, format, controlLoop, log);
     HubTiming hubTiming = HubTiming.within(settings.configLimit());
-    HubSelector hubs = new HubSelector(members::current, hubTiming.minMembers(), ticker);
+    HubSelector hubs = new HubSelector(members::reachable, hubTiming.minMembers(), ticker);
     RolloutManager rollouts =
         new RolloutManager(
             currentView, store, format, trafficLoop, controlLoop, peers, members::current, log);
@@ -136,7 +136,7 @@
   }
 
   private static void start(PeerMessenger peers, ControlPlane plane, RolloutManager rollouts) {
-    peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
+    peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(from.memberId(), query));
     peers.onRequest(ConfigQuery.class, (from, query) -> plane.onQuery(query));
     plane.start();
     rollouts.start();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -33,6 +33,9 @@
   /** Entries of a deployment start at about the same time, so their rows arrive in one batch. */
   private static final Duration MEMBERS_BATCH_DELAY = Duration.ofSeconds(1);
 
+  /** The same while this entry starts, and needs to know whom it may ask. */
+  private static final Duration STARTING_MEMBERS_BATCH_DELAY = Duration.ofMillis(200);
+
   /** Backend servers register in groups, which are cheaper to read in one call. */
   private static final Duration MIN_BACKENDS_BATCH_DELAY = Duration.ofMillis(450);
 
@@ -43,7 +46,7 @@
   private static final Duration MAX_BACKENDS_BATCH_DELAY = Duration.ofMillis(800);
 
   /** An entry that follows a hub by then never polls the store for changes. */
-  private static final Duration FIRST_POLL_DELAY = HubFollower.FIRST_SEARCH_DELAY.plusMillis(150);
+  private static final Duration FIRST_POLL_DELAY = Duration.ofMillis(850);
 
   private final ControlState state;
   private final MemberTable memberTable;
@@ -54,8 +57,10 @@
   private final TableReplica orders;
   private final TableReplica members;
   private final List<TableReplica> replicas;
+  private final TablePoller ordersPoller;
   private final TablePoller backendsPoller;
   private final List<TablePoller> pollers;
+  private final ControlStorePolling polling;
   private final ReplicaServer replicaServer;
   private final HubFollower hubFollower;
   private final StoreEra era;
@@ -101,28 +106,25 @@
     this.replicaServer =
         new ReplicaServer(
             replicas,
-            hubTiming.holdTime(),
+            hubTiming,
             orders,
             health,
             state::lapsesExpected,
             state::configMissingInStore,
-            this::refreshOrders,
+            followerListener(),
             currentView,
             control,
             clocks);
-    PollTiming backendsTiming =
-        new PollTiming(() -> DEFAULT_POLL_TIMEOUT, this::backendsBatchDelay, FIRST_POLL_DELAY);
-    PollTiming statusTiming =
-        new PollTiming(() -> DEFAULT_POLL_TIMEOUT, () -> Duration.ZERO, FIRST_POLL_DELAY);
-    PollTiming membersTiming =
-        new PollTiming(() -> MEMBERS_POLL_TIMEOUT, () -> MEMBERS_BATCH_DELAY, Duration.ZERO);
-    this.backendsPoller = poller(backends, backendsTiming, store, clocks);
+    this.backendsPoller = poller(backends, backendsTiming(), store, clocks);
+    this.ordersPoller = poller(orders, ordersTiming(hubTiming), store, clocks);
+    TablePoller membersPoller = poller(members, membersTiming(), store, clocks);
     this.pollers =
         List.of(
-            poller(orders, ordersTiming(hubTiming), store, clocks),
+            ordersPoller,
             backendsPoller,
-            poller(status, statusTiming, store, clocks),
-            poller(members, membersTiming, store, clocks));
+            poller(status, statusTiming(), store, clocks),
+            membersPoller);
+    this.polling = new ControlStorePolling(pollers, ordersPoller, membersPoller, control);
     this.hubFollower =
         new HubFollower(
             replicas,
@@ -131,8 +133,8 @@
             hubTiming,
             hubSelector,
             peers,
-            () -> pollers.forEach(TablePoller::start),
-            () -> pollers.forEach(TablePoller::stop),
+            memberTable::isRegistered,
+            polling,
             hubListener(),
             control,
             clocks,
@@ -150,9 +152,28 @@
       public void onNewerConfig(StoredRow row) {
         state.onPeerConfig(row, ticker.read());
       }
+
+      @Override
+      public void onReplicated() {
+        replicaServer.onReplicaChanged();
+      }
     };
   }
 
+  private PollTiming backendsTiming() {
+    return new PollTiming(
+        () -> DEFAULT_POLL_TIMEOUT, this::backendsBatchDelay, () -> FIRST_POLL_DELAY);
+  }
+
+  private static PollTiming statusTiming() {
+    return new PollTiming(() -> DEFAULT_POLL_TIMEOUT, () -> Duration.ZERO, () -> FIRST_POLL_DELAY);
+  }
+
+  private PollTiming membersTiming() {
+    return new PollTiming(
+        () -> MEMBERS_POLL_TIMEOUT, this::membersBatchDelay, this::membersFirstPollDelay);
+  }
+
   private PollTiming ordersTiming(HubTiming hubTiming) {
     return new PollTiming(
         () ->
@@ -160,7 +181,7 @@
                 ? hubTiming.pollTimeout()
                 : HubTiming.UNFOLLOWED_POLL_TIMEOUT,
         () -> Duration.ZERO,
-        FIRST_POLL_DELAY);
+        () -> FIRST_POLL_DELAY);
   }
 
   private TablePoller poller(
@@ -168,8 +189,27 @@
     return new TablePoller(replica, timing, store, health, era, this, control, clocks, log);
   }
 
-  private void refreshOrders() {
-    pollers.get(0).refresh();
+  private FollowerListener followerListener() {
+    return new FollowerListener() {
+      @Override
+      public void onFirstFollower() {
+        ordersPoller.refresh();
+      }
+
+      @Override
+      public void onOutdated() {
+        hubFollower.leaveOutdatedHub();
+      }
+    };
+  }
+
+  private Duration membersBatchDelay() {
+    return state.backendsKnown() ? MEMBERS_BATCH_DELAY : STARTING_MEMBERS_BATCH_DELAY;
+  }
+
+  /** An entry that does not see its own registration looks for it, and for others that start. */
+  private Duration membersFirstPollDelay() {
+    return memberTable.isRegistered() ? FIRST_POLL_DELAY : Duration.ZERO;
   }
 
   private Duration backendsBatchDelay() {
@@ -223,15 +263,19 @@
   }
 
   /** Answers a query from a follower of this entry. */
-  public CompletionStage<PeerMessage> onQuery(ReplicaQuery query) {
-    return CompletableFuture.supplyAsync(() -> replicaServer.onQuery(query), control)
+  public CompletionStage<PeerMessage> onQuery(String follower, ReplicaQuery query) {
+    return CompletableFuture.supplyAsync(() -> replicaServer.onQuery(follower, query), control)
         .thenCompose(answer -> answer);
   }
 
   @Override
   public void onReplicaChanged() {
-    if (members.isLoaded() && hubSelector.hubToFollow().isEmpty()) {
-      pollers.forEach(TablePoller::startPolls);
+    polling.onStoreAnswered();
+    if (members.isLoaded()) {
+      hubFollower.onReplicaChanged();
+      if (hubSelector.hubToFollow().isEmpty()) {
+        pollers.forEach(TablePoller::startPolls);
+      }
     }
     // Each answer states the version of the whole store; those for the orders come most often.
     backendsPoller.onStoreVersion(orders.version());
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlState.java
@@ -193,6 +193,11 @@
     control.schedule(this::removeLapsed, LapseExpectation.GRACE.toMillis(), TimeUnit.MILLISECONDS);
   }
 
+  /** Returns whether the registrations of backend servers were read. */
+  boolean backendsKnown() {
+    return backendsKnown;
+  }
+
   /**
    * Returns whether a registration that disappears now may have lapsed although its backend server
    * lives.
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubListener.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubListener.java
@@ -15,4 +15,7 @@
 
   /** Called with the row of a configuration that the restored store lacks. */
   void onNewerConfig(StoredRow row);
+
+  /** Called when the replicas of this entry have the hub's changes. */
+  void onReplicated();
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberTable.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/MemberTable.java
@@ -35,6 +35,7 @@
   private final Consumer<Members> listener;
   private final Map<String, Member> membersByName = new HashMap<>();
   private volatile Members members;
+  private volatile Members reachable;
   private final CompletableFuture<Void> whenKnown = new CompletableFuture<>();
   private final CompletableFuture<Boolean> othersRegistered = new CompletableFuture<>();
   private boolean registering;
@@ -43,7 +44,7 @@
   /**
    * Creates a table that registers this entry when it first receives rows.
    *
-   * @param listener receives the members after each change
+   * @param listener receives the members that can be reached, after each change
    */
   public MemberTable(
       Member self,
@@ -59,13 +60,27 @@
     this.log = log;
     this.listener = listener;
     this.members = new Members(self.name(), List.of());
+    this.reachable = members;
   }
 
-  /** Returns the members known now. */
+  /** Returns the members known now; none before this entry has seen its own registration. */
   public Members current() {
     return members;
   }
 
+  /** Returns whether this entry has seen its own registration. */
+  boolean isRegistered() {
+    return whenKnown.isDone();
+  }
+
+  /**
+   * Returns the members that can be asked, this entry included; it may not have seen its own
+   * registration yet, and so must not yet share any limit with them.
+   */
+  public Members reachable() {
+    return reachable;
+  }
+
   @Override
   public void onSnapshot(List<StoredRow> rows, long nowNanos) {
     membersByName.clear();
@@ -86,6 +101,7 @@
     rows.stream().filter(r -> !SuspectTable.holdsSuspects(r)).forEach(this::applyRow);
     othersRegistered.complete(
         membersByName.keySet().stream().anyMatch(n -> !n.equals(self.name())));
+    publishReachable();
     if (self.equals(membersByName.get(self.name()))) {
       publish();
     } else if (!registering) {
@@ -93,6 +109,13 @@
     }
   }
 
+  private void publishReachable() {
+    Map<String, Member> all = new HashMap<>(membersByName);
+    all.put(self.name(), self);
+    reachable = new Members(self.name(), List.copyOf(all.values()));
+    listener.accept(reachable);
+  }
+
   private void applyRow(StoredRow row) {
     if (row.key().equals(self.name())) {
       ownVersion = row.removed() ? 0 : row.version();
@@ -108,8 +131,7 @@
     if (membersByName.size() != members.all().size()) {
       log.event("members").with("entries", membersByName.size()).write();
     }
-    members = new Members(self.name(), List.copyOf(membersByName.values()));
-    listener.accept(members);
+    members = reachable;
     whenKnown.complete(null);
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/PollTiming.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/PollTiming.java
@@ -9,12 +9,12 @@
  * @param timeoutSupplier how long the store may hold a poll while nothing changes
  * @param batchDelaySupplier pause after a change, so that the next poll returns further changes in
  *     one batch
- * @param firstPollDelay pause between the first read of the whole table and the first poll
+ * @param firstPollDelaySupplier pause between the first read of the whole table and the first poll
  */
 record PollTiming(
     Supplier<Duration> timeoutSupplier,
     Supplier<Duration> batchDelaySupplier,
-    Duration firstPollDelay) {
+    Supplier<Duration> firstPollDelaySupplier) {
   Duration timeout() {
     return timeoutSupplier.get();
   }
@@ -22,4 +22,8 @@
   Duration batchDelay() {
     return batchDelaySupplier.get();
   }
+
+  Duration firstPollDelay() {
+    return firstPollDelaySupplier.get();
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -21,8 +23,9 @@
  * need not poll the store.
  *
  * <p>A query is held until something changed, until the orders were checked again, or until the
- * hold time is over. It is refused (answered with null) while the replicas of this entry may be out
- * of date. Confined to the control thread.
+ * hold time is over; the first one of a follower is answered at once, unless the orders are too old
+ * to follow this entry. It is refused (answered with null) while the replicas of this entry may be
+ * out of date. Confined to the control thread.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ReplicaServer {
@@ -30,44 +33,42 @@
   private static final Duration FOLLOWER_TIMEOUT = Duration.ofSeconds(3);
 
   private final List<TableReplica> replicas;
-  private final Duration holdTime;
+  private final HubTiming timing;
   private final TableReplica orders;
   private final StoreHealth health;
   private final BooleanSupplier lapsesExpected;
   private final Supplier<List<StoredRow>> newerConfig;
-  private final Runnable onFirstFollower;
+  private final FollowerListener listener;
   private final CurrentControlView currentView;
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final List<PendingQuery> pendingQueries = new ArrayList<>();
-  private boolean queried;
-  private long lastQueryNanos;
+  private final Map<String, Long> lastQueryNanos = new HashMap<>();
 
   /**
    * Creates a server.
    *
-   * @param holdTime how long a query is held while nothing changes
+   * @param timing how long a query is held while nothing changes, and which orders are too old
    * @param newerConfig returns the row of the configuration in force if the store has an older one
-   * @param onFirstFollower called when this entry gets its first follower and so needs newer orders
    */
   ReplicaServer(
       List<TableReplica> replicas,
-      Duration holdTime,
+      HubTiming timing,
       TableReplica orders,
       StoreHealth health,
       BooleanSupplier lapsesExpected,
       Supplier<List<StoredRow>> newerConfig,
-      Runnable onFirstFollower,
+      FollowerListener listener,
       CurrentControlView currentView,
       ScheduledExecutorService control,
       Clocks clocks) {
     this.replicas = replicas;
-    this.holdTime = holdTime;
+    this.timing = timing;
     this.orders = orders;
     this.health = health;
     this.lapsesExpected = lapsesExpected;
     this.newerConfig = newerConfig;
-    this.onFirstFollower = onFirstFollower;
+    this.listener = listener;
     this.currentView = currentView;
     this.control = control;
     this.clocks = clocks;
@@ -75,28 +76,41 @@
 
   /** Returns whether other entries follow this one. */
   boolean hasFollowers() {
-    return queried && nowNanos() - lastQueryNanos < FOLLOWER_TIMEOUT.toNanos();
+    long now = nowNanos();
+    lastQueryNanos.values().removeIf(last -> now - last >= FOLLOWER_TIMEOUT.toNanos());
+    return !lastQueryNanos.isEmpty();
   }
 
-  CompletionStage<PeerMessage> onQuery(ReplicaQuery query) {
+  CompletionStage<PeerMessage> onQuery(String follower, ReplicaQuery query) {
     ClockReading arrivedAt = ClockReading.now(clocks);
     if (!hasFollowers()) {
-      onFirstFollower.run();
+      listener.onFirstFollower();
     }
-    queried = true;
-    lastQueryNanos = arrivedAt.nanos();
+    boolean first = lastQueryNanos.put(follower, arrivedAt.nanos()) == null;
     PendingQuery pending = new PendingQuery(query, arrivedAt, new CompletableFuture<>());
+    boolean outdated = isOutdated();
+    if (outdated) {
+      listener.onOutdated();
+    }
     if (!canAnswer(query)) {
       pending.answer().complete(null);
-    } else if (hasUpdate(pending)) {
+    } else if (!outdated && (first || hasUpdate(pending))) {
       pending.answer().complete(answerTo(pending));
     } else {
       pendingQueries.add(pending);
-      control.schedule(() -> complete(pending), holdTime.toMillis(), TimeUnit.MILLISECONDS);
+      control.schedule(
+          () -> complete(pending), timing.holdTime().toMillis(), TimeUnit.MILLISECONDS);
     }
     return pending.answer();
   }
 
+  private boolean isOutdated() {
+    return orders
+        .lastChecked()
+        .map(c -> c.age(clocks).compareTo(timing.maxOrdersAge()) > 0)
+        .orElse(true);
+  }
+
   /** Answers the pending queries for which there is an update now. */
   void onReplicaChanged() {
     for (PendingQuery pending : List.copyOf(pendingQueries)) {
