Read the store from one entry of a region

Change: the settings say which data centres are in the entry's region, and the hubs of the others follow the one of the first data centre (HubSelector). A data centre with too few entries for a hub still reads by itself.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -78,7 +78,8 @@
         new MemberTable(self(), store, format, controlLoop, log, peers::onMembers);
     SuspectTable suspects = new SuspectTable(self(), store, format, controlLoop, log);
     HubTiming hubTiming = HubTiming.within(settings.configLimit());
-    HubSelector hubs = new HubSelector(members::reachable, hubTiming.minMembers(), ticker);
+    HubSelector hubs =
+        new HubSelector(members::reachable, hubTiming.minMembers(), settings.region(), ticker);
     RolloutManager rollouts =
         new RolloutManager(
             currentView, store, format, trafficLoop, controlLoop, peers, members::current, log);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -3,12 +3,15 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Settings of a gateway process. Immutable.
  *
  * @param nodeName name of this entry in logs
  * @param dataCentre data centre of this entry
+ * @param region data centres of this entry's region, this one's included; one of their entries
+ *     reads the store for them
  * @param readyAddress address on which the load balancer probes readiness
  * @param readyPath path of the readiness probe
  * @param metricsAddress address on which metrics are served
@@ -28,6 +31,7 @@
 public record GatewaySettings(
     String nodeName,
     String dataCentre,
+    Set<String> region,
     InetSocketAddress readyAddress,
     String readyPath,
     InetSocketAddress metricsAddress,
@@ -41,4 +45,8 @@
     double retrySlack,
     Duration retryWindow,
     int acceptedConfidence,
-    Duration shutdownLimit) {}
+    Duration shutdownLimit) {
+  public GatewaySettings {
+    region = Set.copyOf(region);
+  }
+}
