--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -5,10 +5,12 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.guavagw.gateway.internal.cascade.ConfidenceCascade;
 import org.guavagw.gateway.internal.control.ControlPlane;
 import org.guavagw.gateway.internal.control.ControlState;
+import org.guavagw.gateway.internal.control.CountingStore;
 import org.guavagw.gateway.internal.control.CurrentControlView;
 import org.guavagw.gateway.internal.control.HubTiming;
 import org.guavagw.gateway.internal.control.MemberTable;
@@ -69,14 +71,15 @@
     EventLoop controlLoop = control.group().next();
     ControlFormat format = adapter.controlFormat();
     this.currentView = new CurrentControlView(clocks);
-    ControlStore store = closer.register(adapter.openStore(control, controlLoop, metrics));
+    ControlStore store = closer.register(openStore(adapter, control, controlLoop, metrics));
     ControlState state = new ControlState(format, currentView, controlLoop, clocks, log);
     PeerMessenger peers = closer.register(openPeers(trafficLoop, metrics));
     MemberTable members =
         new MemberTable(self(), store, format, controlLoop, log, peers::onMembers);
     SuspectTable suspects = new SuspectTable(self(), store, format, controlLoop, log);
     HubTiming hubTiming = HubTiming.within(settings.configLimit());
-    HubSelector hubs = new HubSelector(members::current, hubTiming.minMembers(), ticker);
+    HubSelector hubs =
+        new HubSelector(members::reachable, hubTiming.minMembers(), settings.region(), ticker);
     RolloutManager rollouts =
         new RolloutManager(
             currentView, store, format, trafficLoop, controlLoop, peers, members::current, log);
@@ -116,6 +119,14 @@
     start(peers, plane, rollouts);
   }
 
+  private static ControlStore openStore(
+      GatewayAdapter adapter, Transport control, EventLoop controlLoop, GatewayMetrics metrics) {
+    return new CountingStore(
+        adapter.openStore(control, controlLoop, metrics),
+        (table, cause, result) ->
+            metrics.onStoreCallOf(table, cause.name().toLowerCase(Locale.ROOT), result));
+  }
+
   private PeerMessenger openPeers(EventLoop trafficLoop, GatewayMetrics metrics) {
     return new PeerMessenger(
         settings.nodeName(),
@@ -126,7 +137,7 @@
   }
 
   private static void start(PeerMessenger peers, ControlPlane plane, RolloutManager rollouts) {
-    peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(query));
+    peers.onRequest(ReplicaQuery.class, (from, query) -> plane.onQuery(from.memberId(), query));
     peers.onRequest(ConfigQuery.class, (from, query) -> plane.onQuery(query));
     plane.start();
     rollouts.start();
