Keep one account of the memory that callers hold

Cause: an entry held whatever callers sent. Bodies filled the direct memory, for which the traffic thread then waited up to half a second a buffer; heads of thousands of fields, requests decoded ahead and unread answers filled the heap, which ended the process; connections took all descriptors.

Change: - MemoryAccount sums what each connection holds: head and bytes sent ahead, body, answer being received, answer not taken. Beyond a limit from the machine's memory, the heap and the direct memory, EvictionPolicy says which connection is given up: incomplete requests first (503 with Retry-After), then unread answers, the largest beyond its part. A request whose answer has not begun is never chosen, nor one that alone holds memory. - Connections of callers are limited to a part of the descriptors; the longest unused without a request makes room for a new one. - RequestCheck lets one request pass to the decoder at a time and keeps what was sent ahead as bytes, at most 16 KiB. The next request waits until its caller has taken the answers before. The test of the framing asks for the next request after each byte, so that it still sees a second one. - The body of a request without route or key is counted and not kept. A body over the limit is refused at once, and its rest read for a second. - At most 256 header fields; a body takes 60 s at most; the monitoring ports have limits of their own. - Bodies are kept in pieces that are never copied to grow, and a buffered answer is no longer copied before it is sent. - Errors other than of the connection are logged.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -24,6 +24,7 @@
  * @param acceptedConfidence confidence in percent from which an answer of the smallest model is
  *     accepted
  * @param shutdownLimit maximum duration of a shutdown
+ * @param resources what the machine gives to this process
  */
 public record GatewaySettings(
     String nodeName,
@@ -41,4 +42,5 @@
     double retrySlack,
     Duration retryWindow,
     int acceptedConfidence,
-    Duration shutdownLimit) {}
+    Duration shutdownLimit,
+    ProcessResources resources) {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import java.util.Arrays;
 import java.util.Optional;
+import org.guavagw.RefusalCode;
 
 /**
  * Follows the bytes of the messages on one connection and stops at the first that readers could
@@ -18,12 +19,20 @@
 
   private static final int MAX_CHUNK_SIZE_DIGITS = 15;
 
+  /**
+   * Header and trailer fields of one message. Each takes far more memory than its bytes; clients
+   * and servers send some dozens.
+   */
+  static final int MAX_FIELDS = 256;
+
   private HeadRules rules;
   private State state = State.START_LINE;
   private FieldLines fields = new FieldLines();
   private byte[] line = new byte[512];
   private int lineLength;
   private int blankLines;
+  private int headBytes;
+  private int fieldCount;
   private long bodyLeft;
   private FramingFault fault;
 
@@ -59,6 +68,18 @@
     rules = nextRules;
     state = State.START_LINE;
     blankLines = 0;
+    headBytes = 0;
+    fieldCount = 0;
+  }
+
+  /** Returns the bytes of the head of the message so far. */
+  int headBytes() {
+    return headBytes;
+  }
+
+  /** Returns the header and trailer fields of the message so far. */
+  int fieldCount() {
+    return fieldCount;
   }
 
   /** Returns whether a message is complete and the next one is not expected yet. */
@@ -100,6 +121,9 @@
   private int takeLine(ByteBuf bytes, int index, int end) {
     int newline = bytes.indexOf(index, end, (byte) '\n');
     int lineEnd = newline < 0 ? end : newline + 1;
+    if (state == State.START_LINE || state == State.HEADER_LINE) {
+      headBytes += lineEnd - index;
+    }
     append(bytes, index, lineEnd - index);
     if (newline >= 0 && fault == null) {
       onLine();
@@ -158,6 +182,7 @@
 
   private void onHeaderLine(int length) {
     if (length > 0) {
+      countField();
       fields.add(line, length).ifPresent(this::fail);
       return;
     }
@@ -207,10 +232,22 @@
       state = State.COMPLETE;
       return;
     }
+    countField();
     new FieldLines().add(line, length).ifPresent(this::fail);
   }
 
+  private void countField() {
+    fieldCount++;
+    if (fieldCount > MAX_FIELDS) {
+      fault =
+          new FramingFault(
+              RefusalCode.REQUEST_TOO_LARGE, "more than " + MAX_FIELDS + " header fields");
+    }
+  }
+
   private void fail(String reason) {
-    fault = FramingFault.malformed(reason);
+    if (fault == null) {
+      fault = FramingFault.malformed(reason);
+    }
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/RequestCheck.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/RequestCheck.java
@@ -8,16 +8,38 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Deque;
 
 /**
  * Lets only bytes pass to the decoder of requests that all readers take for the same requests. In
  * place of the first other ones comes a request whose decoder result is a {@link FramingException};
- * nothing follows it. Confined to the event loop of its connection.
+ * nothing follows it.
+ *
+ * <p>Invariants: one request passes at a time, the next one only after {@link #expectNext}; bytes
+ * sent ahead are kept as they arrived, and reading is paused beyond {@link #MAX_BYTES_AHEAD} of
+ * them. Confined to the event loop of its connection.
  */
 public final class RequestCheck extends ChannelInboundHandlerAdapter {
+  /** Buffers with requests sent ahead, beyond which no more is read. */
+  private static final int MAX_BYTES_AHEAD = 16 * 1024;
+
+  /** Memory that a decoded field takes beside its characters, and a head for each of its bytes. */
+  private static final int FIELD_OVERHEAD_BYTES = 128;
+
+  private static final int BYTES_PER_HEAD_BYTE = 2;
+
   private static final RequestFraming RULES = new RequestFraming();
 
   private final FramingScanner scanner = new FramingScanner(RULES);
+  private final Deque<ByteBuf> ahead = new ArrayDeque<>();
+  private ChannelHandlerContext context;
+  private int bytesAhead;
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    context = ctx;
+  }
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
@@ -25,30 +47,77 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    int begin = bytes.readerIndex();
-    int index = begin;
-    int accepted = begin;
-    while (index < bytes.writerIndex() && scanner.fault().isEmpty()) {
-      if (scanner.isComplete()) {
-        scanner.expect(RULES);
-      }
-      index = scanner.take(bytes, index);
-      accepted = scanner.isComplete() ? index : accepted;
-    }
-    if (scanner.fault().isEmpty()) {
-      ctx.fireChannelRead(bytes);
-      return;
+    if (scanner.isComplete()) {
+      ahead.addLast(bytes);
+      onKept(bytes);
+    } else {
+      pass(bytes);
     }
-    passOn(ctx, bytes, accepted - begin);
-    ctx.fireChannelRead(refused(scanner.fault().get()));
   }
 
-  private static void passOn(ChannelHandlerContext ctx, ByteBuf bytes, int length) {
-    if (length > 0) {
-      ctx.fireChannelRead(bytes.readSlice(length));
-    } else {
+  private void onKept(ByteBuf bytes) {
+    bytesAhead += bytes.capacity();
+    if (bytesAhead >= MAX_BYTES_AHEAD) {
+      context.channel().config().setAutoRead(false);
+    }
+  }
+
+  /** Passes on bytes up to the end of the request. */
+  private void pass(ByteBuf bytes) {
+    int end = scanner.take(bytes, bytes.readerIndex());
+    if (scanner.fault().isPresent()) {
       bytes.release();
+      context.fireChannelRead(refused(scanner.fault().get()));
+      return;
+    }
+    if (end == bytes.writerIndex()) {
+      context.fireChannelRead(bytes);
+      return;
     }
+    ByteBuf request = bytes.readRetainedSlice(end - bytes.readerIndex());
+    ahead.addFirst(bytes);
+    onKept(bytes);
+    context.fireChannelRead(request);
+  }
+
+  /** Lets the next request pass, once the one before has been answered. */
+  public void expectNext() {
+    if (!scanner.isComplete() || scanner.fault().isPresent()) {
+      return;
+    }
+    scanner.expect(RULES);
+    while (!scanner.isComplete() && scanner.fault().isEmpty() && !ahead.isEmpty()) {
+      ByteBuf bytes = ahead.remove();
+      bytesAhead -= bytes.capacity();
+      pass(bytes);
+    }
+    if (bytesAhead < MAX_BYTES_AHEAD) {
+      context.channel().config().setAutoRead(true);
+    }
+  }
+
+  /** Returns the memory that the head of the request and what was sent ahead of it take. */
+  public long heldBytes() {
+    return bytesAhead
+        + (long) BYTES_PER_HEAD_BYTE * scanner.headBytes()
+        + (long) FIELD_OVERHEAD_BYTES * scanner.fieldCount();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext ctx) {
+    releaseAhead();
+    ctx.fireChannelInactive();
+  }
+
+  @Override
+  public void handlerRemoved(ChannelHandlerContext ctx) {
+    releaseAhead();
+  }
+
+  private void releaseAhead() {
+    ahead.forEach(ReferenceCountUtil::release);
+    ahead.clear();
+    bytesAhead = 0;
   }
 
   private static DefaultFullHttpRequest refused(FramingFault fault) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AnswerSink.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AnswerSink.java
@@ -9,6 +9,9 @@
  * <p>Invariant: a chunked answer ends with {@code finish} only if it is complete.
  */
 interface AnswerSink {
+  /** Records how many bytes of the answer are held until it can be sent. */
+  void setHeldAnswerBytes(long bytes);
+
   /** Sends a buffered answer and takes ownership of its body. */
   void send(int status, HttpHeaders headers, ByteBuf body);
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BufferedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BufferedAnswerForwarder.java
@@ -17,12 +17,14 @@
   private static final int MAX_BODY_BYTES = 8 << 20;
 
   private final Exchange exchange;
+  private final AnswerSink sink;
   private final ByteBuf body = Unpooled.buffer(256);
   private AnswerHead answer;
   private HttpHeaders headers;
 
-  BufferedAnswerForwarder(Exchange exchange) {
+  BufferedAnswerForwarder(Exchange exchange, AnswerSink sink) {
     this.exchange = exchange;
+    this.sink = sink;
   }
 
   @Override
@@ -39,6 +41,7 @@
       return;
     }
     body.writeBytes(content, content.readerIndex(), content.readableBytes());
+    sink.setHeldAnswerBytes(body.capacity());
   }
 
   @Override
@@ -46,16 +49,19 @@
     AnswerClassification classification = AnswerClassification.of(answer);
     if (classification != AnswerClassification.USABLE
         && classification != AnswerClassification.SERVER_ERROR) {
+      sink.setHeldAnswerBytes(0);
       exchange.onAttemptFailed(classification.failure());
     } else if (classification == AnswerClassification.SERVER_ERROR && exchange.tryAcquireRetry()) {
+      sink.setHeldAnswerBytes(0);
       exchange.retryAfterServerError();
     } else {
-      exchange.forwardBuffered(answer, headers, body.copy());
+      exchange.forwardBuffered(answer, headers, body.retain());
     }
   }
 
   @Override
   public void onFailed(AttemptFailure failure) {
+    sink.setHeldAnswerBytes(0);
     exchange.onAttemptFailed(failure);
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -6,8 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -26,68 +24,85 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
-import java.time.Duration;
-import java.util.ArrayDeque;
+import java.io.IOException;
+import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.Refusal;
 import org.guavagw.RefusalCode;
-import org.guavagw.gateway.internal.framing.FramingException;
+import org.guavagw.gateway.internal.framing.RequestCheck;
 import org.guavagw.gateway.internal.framing.RequestTarget;
+import org.guavagw.gateway.internal.memory.EvictionReason;
+import org.guavagw.gateway.internal.memory.MemoryHolder;
+import org.guavagw.gateway.internal.memory.MemoryShare;
+import org.guavagw.gateway.internal.memory.Standing;
 import org.guavagw.gateway.model.CallerLimits;
 import org.guavagw.gateway.spi.CallerRequest;
 
 /**
  * One connection of a caller. Confined to the traffic thread.
  *
- * <p>Invariants: the requests of a connection are served one at a time and in order; messages that
- * arrive meanwhile are queued; a request is processed only once it has been received completely.
+ * <p>Invariants: the requests of a connection are served one at a time and in order; the next one
+ * is read once the caller has taken the answer but for a rest; a request is processed only once it
+ * has been received completely; what the connection holds is in the account of memory.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
-final class CallerConnection extends ChannelInboundHandlerAdapter implements AnswerSink {
-  /** Messages of further requests that are queued before reading is paused. */
-  private static final int MAX_QUEUED_MESSAGES = 64;
-
-  /**
-   * A caller that takes nothing of its answer for so long counts as gone. Socket buffers hide slow
-   * reading for seconds.
-   */
-  private static final long MAX_WRITE_STALL_NANOS = Duration.ofSeconds(20).toNanos();
+final class CallerConnection extends ChannelInboundHandlerAdapter
+    implements AnswerSink, MemoryHolder {
+  /** How long the rest of a refused body is read, so that its caller can read the refusal. */
+  private static final long LINGER_MILLIS = 1000;
 
   private final CallerConnectionDependencies shared;
-  private final Queue<HttpObject> queued = new ArrayDeque<>();
+  private final RequestCheck requests;
+  private Optional<MemoryShare> share = Optional.empty();
   private ChannelHandlerContext context;
+  private UnreadAnswers unread;
   private HttpRequest head;
   private CallerRequest caller;
   private OptionalInt attemptsElsewhere = OptionalInt.empty();
-  private final BodyBuffer body = new BodyBuffer();
+  private final IncomingBody body = new IncomingBody();
   private boolean malformed;
+
+  /** Bytes of the body of the request that is being served. */
+  private long servedBytes;
+
+  /** Bytes of its answer that are held until it can be sent. */
+  private long answerBytes;
+
   private long arrivedNanos;
   private Exchange exchange;
   private boolean inFlight;
 
-  /** Bytes of answers that the caller had not taken when the connection was last idle. */
-  private long unwrittenBytes;
-
-  private long lastTakenNanos;
-
   private boolean answerPending;
   private boolean keepAlive = true;
   private boolean closing;
+  private boolean lingering;
   private ScheduledFuture<?> idleTimer;
 
-  CallerConnection(CallerConnectionDependencies shared) {
+  /**
+   * Creates a connection.
+   *
+   * @param requests the handler of the same connection that lets one request pass at a time
+   */
+  CallerConnection(CallerConnectionDependencies shared, RequestCheck requests) {
     this.shared = shared;
+    this.requests = requests;
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
+    unread = new UnreadAnswers(ctx.channel());
   }
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
+    share = shared.memory().open(this);
+    if (share.isEmpty()) {
+      closing = true;
+      ctx.close();
+      return;
+    }
     shared.connections().add(this);
     startIdleTimer(limits().idleTimeout().toMillis());
   }
@@ -97,9 +112,9 @@
     shared.connections().remove(this);
     closing = true;
     stopIdleTimer();
-    queued.forEach(ReferenceCountUtil::release);
-    queued.clear();
     body.release();
+    share.ifPresent(MemoryShare::close);
+    share = Optional.empty();
     if (exchange != null) {
       exchange.onCallerDisconnected();
     }
@@ -115,17 +130,6 @@
       ReferenceCountUtil.release(message);
       return;
     }
-    if (answerPending) {
-      queued.add(part);
-      if (queued.size() >= MAX_QUEUED_MESSAGES) {
-        ctx.channel().config().setAutoRead(false);
-      }
-      return;
-    }
-    handle(part);
-  }
-
-  private void handle(HttpObject part) {
     try {
       if (part.decoderResult().isFailure()) {
         onMalformed(part.decoderResult().cause());
@@ -142,22 +146,27 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    reportHeldBytes();
+  }
+
+  private void reportHeldBytes() {
+    share.ifPresent(
+        s ->
+            s.set(
+                requests.heldBytes()
+                    + body.heldBytes()
+                    + servedBytes
+                    + answerBytes
+                    + unread.bytes()));
+  }
+
   private void onMalformed(Throwable cause) {
     keepAlive = false;
     answerPending = true;
-    Refusal refusal =
-        Refusal.notRun(refusalCode(cause), "the request cannot be read: " + cause.getMessage());
     shared.log().event("request_malformed").with("reason", String.valueOf(cause)).write();
-    RefusalWriter.write(this, refusal);
-  }
-
-  private static RefusalCode refusalCode(Throwable cause) {
-    if (cause instanceof FramingException framing) {
-      return framing.fault().code();
-    }
-    return cause instanceof TooLongFrameException
-        ? RefusalCode.REQUEST_TOO_LARGE
-        : RefusalCode.MALFORMED_REQUEST;
+    RefusalWriter.write(this, ExchangeRefusals.unreadable(cause));
   }
 
   private void onHead(HttpRequest request) {
@@ -167,11 +176,15 @@
     attemptsElsewhere = Forwarding.takeAttempts(request.headers());
     arrivedNanos = shared.exchangeDependencies().ticker().read();
     keepAlive = HttpUtil.isKeepAlive(request);
+    body.start(arrivedNanos);
+    share.ifPresent(MemoryShare::touch);
     startIdleTimer(limits().headerTimeout().toMillis());
     Either<String, CallerRequest> decoded = shared.exchangeDependencies().format().decode(request);
     malformed = decoded.isLeft();
     caller = decoded.getOrNull();
-    if (HttpUtil.is100ContinueExpected(request) && !malformed) {
+    if (!malformed && HttpUtil.getContentLength(request, 0L) > limits().maxBodyBytes()) {
+      logAndRefuse(ExchangeRefusals.bodyTooLarge());
+    } else if (HttpUtil.is100ContinueExpected(request) && !malformed) {
       context.writeAndFlush(
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
     }
@@ -181,34 +194,67 @@
     if (head == null) {
       return;
     }
-    ByteBuf chunk = content.content();
-    if (chunk.isReadable()) {
+    if (content.content().isReadable()) {
       startIdleTimer(limits().idleTimeout().toMillis());
     }
-    body.add(chunk, context.alloc(), limits().maxBodyBytes());
+    long now = shared.exchangeDependencies().ticker().read();
+    Optional<Refusal> refusal =
+        body.add(content, context.alloc(), limits().maxBodyBytes(), now, this::accessRefusal);
     if (content instanceof LastHttpContent) {
       onRequestComplete();
+    } else if (refusal.isPresent()) {
+      logAndRefuse(refusal.get());
+    } else {
+      reportHeldBytes();
     }
   }
 
+  /** Returns why the caller is known to have no access, whatever its body is. */
+  private Optional<Refusal> accessRefusal() {
+    Either<Refusal, AdmissionCheck.Admission> admission = checkAdmission(head);
+    return admission.isLeft()
+        ? Optional.of(admission.getLeft()).filter(r -> r.retryAfter().isEmpty())
+        : Optional.empty();
+  }
+
+  private void logAndRefuse(Refusal refusal) {
+    logRefusal(head, refusal);
+    refuseIncomplete(refusal);
+  }
+
+  /** Refuses a request whose body is incomplete; the connection is closed afterwards. */
+  private void refuseIncomplete(Refusal refusal) {
+    head = null;
+    keepAlive = false;
+    lingering = true;
+    answerPending = true;
+    body.release();
+    stopIdleTimer();
+    RefusalWriter.write(this, refusal);
+    reportHeldBytes();
+  }
+
   private void onRequestComplete() {
     stopIdleTimer();
     answerPending = true;
     HttpRequest completeHead = head;
     head = null;
-    boolean tooLarge = body.isTooLarge();
+    Optional<Refusal> refusal = body.refusal();
+    servedBytes = body.heldBytes();
     ByteBuf completeBody = body.take();
-    shared.readBarrier().run(() -> serve(completeHead, completeBody, tooLarge));
+    shared.readBarrier().run(() -> serve(completeHead, completeBody, refusal));
   }
 
-  private void serve(HttpRequest completeHead, ByteBuf completeBody, boolean tooLarge) {
+  private void serve(HttpRequest completeHead, ByteBuf completeBody, Optional<Refusal> refusal) {
     if (closing) {
       completeBody.release();
       shared.log().event("caller_left_before_dispatch").with("id", callerId()).write();
       return;
     }
     Either<Refusal, AdmissionCheck.Admission> admission =
-        checkAdmission(completeHead, tooLarge)
+        refusal
+            .<Either<Refusal, AdmissionCheck.Admission>>map(Either::left)
+            .orElseGet(() -> checkAdmission(completeHead))
             .filterOrElse(a -> inFlight, a -> ExchangeRefusals.entryStopping());
     if (admission.isLeft()) {
       completeBody.release();
@@ -232,17 +278,12 @@
     exchange.start();
   }
 
-  private Either<Refusal, AdmissionCheck.Admission> checkAdmission(
-      HttpRequest request, boolean tooLarge) {
+  private Either<Refusal, AdmissionCheck.Admission> checkAdmission(HttpRequest request) {
     if (malformed) {
       keepAlive = false;
       return Either.left(
           Refusal.notRun(RefusalCode.MALFORMED_REQUEST, "the request head is not valid"));
     }
-    if (tooLarge) {
-      return Either.left(
-          Refusal.notRun(RefusalCode.REQUEST_TOO_LARGE, "the body exceeds the size limit"));
-    }
     String host = request.headers().get(HttpHeaderNames.HOST, "");
     return shared
         .exchangeDependencies()
@@ -275,6 +316,12 @@
     exchange = null;
   }
 
+  @Override
+  public void setHeldAnswerBytes(long bytes) {
+    answerBytes = bytes;
+    reportHeldBytes();
+  }
+
   @Override
   public void send(int status, HttpHeaders headers, ByteBuf content) {
     FullHttpResponse response =
@@ -322,46 +369,91 @@
 
   /** The request stays in flight until the caller's socket has taken the whole answer. */
   private void onAnswerEnded(ChannelFuture written) {
-    if (inFlight) {
-      inFlight = false;
-      written.addListener(f -> shared.inFlight().end());
-    }
+    boolean endsInFlight = inFlight;
+    inFlight = false;
+    servedBytes = 0;
+    answerBytes = 0;
+    reportHeldBytes();
+    written.addListener(
+        f -> {
+          reportHeldBytes();
+          if (endsInFlight) {
+            shared.inFlight().end();
+          }
+        });
     if (!keepAlive) {
       closeOnceWritten();
       return;
     }
     answerPending = false;
-    unwrittenBytes = Long.MAX_VALUE;
+    unread.onAnswered();
     startIdleTimer(limits().idleTimeout().toMillis());
-    context.executor().execute(this::handleQueued);
+    context.executor().execute(this::expectNext);
   }
 
   private void closeOnceWritten() {
     closing = true;
-    context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    ChannelFuture written = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
+    if (lingering) {
+      context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
   }
 
-  private void handleQueued() {
-    while (!answerPending && !closing && !queued.isEmpty()) {
-      handle(queued.poll());
-    }
-    if (queued.size() < MAX_QUEUED_MESSAGES && !closing) {
-      context.channel().config().setAutoRead(true);
+  private void expectNext() {
+    if (answerPending || closing || !context.channel().isWritable()) {
+      return;
     }
+    requests.expectNext();
+    reportHeldBytes();
   }
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (exchange != null && ctx.channel().isWritable()) {
+    reportHeldBytes();
+    if (!ctx.channel().isWritable()) {
+      return;
+    }
+    if (exchange != null) {
       exchange.onWritable();
+    } else {
+      ctx.executor().execute(this::expectNext);
     }
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      shared.log().event("connection_failed").with("reason", String.valueOf(cause)).write();
+    }
     ctx.close();
   }
 
+  @Override
+  public Standing standing() {
+    if (closing) {
+      return Standing.ANSWERED;
+    }
+    if (answerPending) {
+      return answerBytes + unread.bytes() > 0 ? Standing.ANSWERING : Standing.SERVING;
+    }
+    if (head != null) {
+      return Standing.RECEIVING;
+    }
+    return unread.bytes() > 0 ? Standing.ANSWERED : Standing.WAITING;
+  }
+
+  @Override
+  public void evict(EvictionReason reason) {
+    if (standing() == Standing.RECEIVING) {
+      refuseIncomplete(ExchangeRefusals.noMemoryFor(reason));
+    } else {
+      closing = true;
+      context.close();
+    }
+  }
+
   /** Closes the connection unless a request is being received or served. */
   void closeIfIdle() {
     if (!answerPending && head == null) {
@@ -374,11 +466,7 @@
     if (exchange != null) {
       exchange.onEntryStopping();
     } else if (head != null && !closing) {
-      head = null;
-      keepAlive = false;
-      answerPending = true;
-      body.release();
-      RefusalWriter.write(this, ExchangeRefusals.entryStopping());
+      refuseIncomplete(ExchangeRefusals.entryStopping());
     }
   }
 
@@ -402,28 +490,11 @@
     if (answerPending) {
       return;
     }
-    if (isTakingAnswer()) {
+    if (unread.areBeingTaken(shared.exchangeDependencies().ticker().read())) {
       startIdleTimer(limits().idleTimeout().toMillis());
       return;
     }
     closing = true;
     context.close();
   }
-
-  /** Returns whether the caller has still to read, and has done so within the limit. */
-  private boolean isTakingAnswer() {
-    long now = shared.exchangeDependencies().ticker().read();
-    long unwritten = countUnwrittenBytes();
-    if (unwritten < unwrittenBytes) {
-      unwrittenBytes = unwritten;
-      lastTakenNanos = now;
-    }
-    return unwritten > 0 && now - lastTakenNanos < MAX_WRITE_STALL_NANOS;
-  }
-
-  /** Returns how much of the last answers the caller's socket has not taken yet. */
-  private long countUnwrittenBytes() {
-    ChannelOutboundBuffer buffer = context.channel().unsafe().outboundBuffer();
-    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
-  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnectionDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnectionDependencies.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.memory.MemoryAccount;
 import org.guavagw.gateway.model.CallerLimits;
 import org.guavagw.internal.lifecycle.InFlightRequests;
 
@@ -11,6 +12,7 @@
  *
  * @param fromEntries whether the connections are those of entries that forward requests
  * @param connections open connections; traffic thread only
+ * @param memory what all connections hold
  */
 record CallerConnectionDependencies(
     ExchangeDependencies exchangeDependencies,
@@ -20,10 +22,19 @@
     PendingReadBarrier readBarrier,
     GracefulShutdown shutdown,
     InFlightRequests inFlight,
+    MemoryAccount memory,
     EventLog log) {
   /** Returns the same dependencies for connections of entries that forward requests. */
   CallerConnectionDependencies forEntries() {
     return new CallerConnectionDependencies(
-        exchangeDependencies, true, limits, connections, readBarrier, shutdown, inFlight, log);
+        exchangeDependencies,
+        true,
+        limits,
+        connections,
+        readBarrier,
+        shutdown,
+        inFlight,
+        memory,
+        log);
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
@@ -30,6 +30,7 @@
     this.channel =
         transport
             .serverBootstrap(socket.channel())
+            .handler(new AcceptFailureLog(() -> shared.log()))
             .option(ChannelOption.AUTO_READ, false)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_WATER_MARKS)
             .childHandler(
@@ -37,13 +38,14 @@
                   @Override
                   protected void initChannel(Channel accepted) {
                     int maxHeaderBytes = shared.limits().get().maxHeaderBytes();
+                    RequestCheck requests = new RequestCheck();
                     accepted
                         .pipeline()
-                        .addLast(new RequestCheck())
+                        .addLast(requests)
                         .addLast(
                             new HttpServerCodec(
                                 MAX_INITIAL_LINE_BYTES, maxHeaderBytes, MAX_CHUNK_BYTES))
-                        .addLast(new CallerConnection(shared));
+                        .addLast(new CallerConnection(shared, requests));
                   }
                 })
             .register()
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -157,7 +157,7 @@
     }
     progress = sender.begin(chosen, model, now);
     monitor.watch(++attemptCount);
-    forwarder = AnswerForwarder.of(this, request.route().kind());
+    forwarder = AnswerForwarder.of(this, sink, request.route().kind());
     int attemptNumber = attemptCount;
     Attempt sent =
         sender.send(chosen, model, lastEventId, () -> isStillWanted(chosen), forwarder, now);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeRefusals.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeRefusals.java
@@ -1,12 +1,16 @@
 package org.guavagw.gateway.internal.relay;
 
+import io.netty.handler.codec.TooLongFrameException;
 import java.time.Duration;
+import java.util.Locale;
 import org.guavagw.Refusal;
 import org.guavagw.RefusalCode;
 import org.guavagw.RunState;
+import org.guavagw.gateway.internal.framing.FramingException;
+import org.guavagw.gateway.internal.memory.EvictionReason;
 
 /**
- * Composes the refusals of a request that was admitted.
+ * Composes the refusals of a request.
  *
  * <p>Invariant: a refusal says that the request was not run only if that is proven. Stateless.
  */
@@ -49,6 +53,36 @@
         RetryAfterDelays.SHUTTING_DOWN);
   }
 
+  /** Returns the refusal of a request that the decoder or the check before it could not read. */
+  static Refusal unreadable(Throwable cause) {
+    return Refusal.notRun(codeOf(cause), "the request cannot be read: " + cause.getMessage());
+  }
+
+  private static RefusalCode codeOf(Throwable cause) {
+    if (cause instanceof FramingException framing) {
+      return framing.fault().code();
+    }
+    return cause instanceof TooLongFrameException
+        ? RefusalCode.REQUEST_TOO_LARGE
+        : RefusalCode.MALFORMED_REQUEST;
+  }
+
+  static Refusal bodyTooLarge() {
+    return Refusal.notRun(RefusalCode.REQUEST_TOO_LARGE, "the body exceeds the size limit");
+  }
+
+  static Refusal bodyTooSlow() {
+    return Refusal.notRun(
+        RefusalCode.OVERLOADED, "the body did not arrive in time", RetryAfterDelays.OTHER_ENTRY);
+  }
+
+  static Refusal noMemoryFor(EvictionReason reason) {
+    return Refusal.notRun(
+        RefusalCode.OVERLOADED,
+        "this entry is short of " + reason.name().toLowerCase(Locale.ROOT),
+        RetryAfterDelays.OTHER_ENTRY);
+  }
+
   static Refusal deadlinePassed(boolean provenNotRun) {
     return provenNotRun
         ? Refusal.notRun(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -231,6 +231,7 @@
         onFailed(AttemptFailure.UNUSABLE);
       } else {
         body.writeBytes(content, content.readerIndex(), content.readableBytes());
+        sink.setHeldAnswerBytes(body.capacity());
       }
     }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -27,6 +27,8 @@
 import org.guavagw.gateway.internal.limits.ServerPauses;
 import org.guavagw.gateway.internal.limits.ServerRateLimits;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.memory.MemoryAccount;
+import org.guavagw.gateway.internal.memory.MemoryLimits;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
 import org.guavagw.gateway.internal.peers.HubSelector;
@@ -91,6 +93,7 @@
   private final InFlightRequests inFlight = new InFlightRequests();
   private final GracefulShutdown shutdown;
   private final long startNanos;
+  private final MemoryAccount memory;
   private final WorkReportSender workReportSender;
   private final Closer closer = new Closer();
   private boolean reportScheduled;
@@ -119,6 +122,7 @@
     this.shutdown = new GracefulShutdown(ticker);
     this.ticker = ticker;
     this.startNanos = ticker.read();
+    this.memory = newMemoryAccount(settings, log, metrics);
     this.eventLoop = transport.group().next();
     EventLoopLag lag = new EventLoopLag(callerServer.listeningSinceNanos());
     PendingReadBarrier readBarrier = new PendingReadBarrier(eventLoop, lag, ticker);
@@ -180,6 +184,8 @@
     metrics.gauge("prompt_parts_held", () -> crashGuard.quarantine().heldPartCount());
     metrics.gauge("requests_held", () -> crashGuard.quarantine().heldRequestCount());
     metrics.gauge("caller_connections", connections::size);
+    metrics.gauge("caller_bytes_held", memory::totalBytes);
+    metrics.gauge("caller_bytes_limit", memory::limitBytes);
   }
 
   private void runEvery(Duration period, Runnable task) {
@@ -308,9 +314,16 @@
         readBarrier,
         shutdown,
         inFlight,
+        memory,
         dependencies.log());
   }
 
+  private static MemoryAccount newMemoryAccount(
+      GatewaySettings settings, EventLog log, GatewayMetrics metrics) {
+    return new MemoryAccount(
+        MemoryLimits.of(settings.resources()), new EvictionReporter(log, metrics));
+  }
+
   private boolean testsBrittleServer(BackendServer server) {
     return members.get().participates(server.id(), server.dataCentre(), BrittleServers.TESTERS);
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
@@ -16,19 +16,21 @@
  */
 final class StreamedAnswerForwarder implements AnswerForwarder {
   private final Exchange exchange;
+  private final AnswerSink sink;
   private final EventSplitter splitter = new EventSplitter();
   private AnswerHead answer;
   private HttpResponse head;
   private BufferedAnswerForwarder errorAnswer;
 
-  StreamedAnswerForwarder(Exchange exchange) {
+  StreamedAnswerForwarder(Exchange exchange, AnswerSink sink) {
     this.exchange = exchange;
+    this.sink = sink;
   }
 
   @Override
   public void onHead(HttpResponse response, AnswerHead decoded) {
     if (!decoded.success() || AnswerClassification.of(decoded) != AnswerClassification.USABLE) {
-      errorAnswer = new BufferedAnswerForwarder(exchange);
+      errorAnswer = new BufferedAnswerForwarder(exchange, sink);
       errorAnswer.onHead(response, decoded);
       return;
     }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/RequestFramingTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/RequestFramingTest.java
@@ -159,9 +159,11 @@
 
   /** Returns the code with which bytes are refused, or that they are read as one request. */
   private static String read(String bytes) {
-    EmbeddedChannel channel = new EmbeddedChannel(new RequestCheck(), new HttpRequestDecoder());
+    RequestCheck check = new RequestCheck();
+    EmbeddedChannel channel = new EmbeddedChannel(check, new HttpRequestDecoder());
     for (int i = 0; i < bytes.length(); i++) {
       channel.writeInbound(Unpooled.copiedBuffer(bytes.substring(i, i + 1), ISO_8859_1));
+      check.expectNext();
     }
     Optional<String> result = Optional.empty();
     for (Object next = channel.readInbound(); next != null; next = channel.readInbound()) {
