--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -27,6 +27,7 @@
  * @param acceptedConfidence confidence in percent from which an answer of the smallest model is
  *     accepted
  * @param shutdownLimit maximum duration of a shutdown
+ * @param resources what the machine gives to this process
  */
 public record GatewaySettings(
     String nodeName,
@@ -45,7 +46,8 @@
     double retrySlack,
     Duration retryWindow,
     int acceptedConfidence,
-    Duration shutdownLimit) {
+    Duration shutdownLimit,
+    ProcessResources resources) {
   public GatewaySettings {
     region = Set.copyOf(region);
   }
