Make the fair queue and the rate of events usable beyond the chat entry

Cause: the gateway needs start-time fair queueing over teams too, with another order within a team. Change: FairQueue and TeamQueue take any FairShareItem, an order within a team and a credit of teams that were idle (none for the chat entry, as before). CompletionRate is EventRate now, public, and takes weights. AdmissionQueueTest changes only the types that it names.

--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/Admission.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/Admission.java
@@ -11,7 +11,7 @@
  * A request that was offered to an {@link AdmissionQueue}. Its state changes once, from queued to
  * admitted or refused; an admitted request must be released. Thread-safe.
  */
-public final class Admission {
+public final class Admission implements FairShareItem {
   private final AdmissionRequest request;
   private final long offeredNanos;
   private volatile long admittedNanos;
@@ -28,6 +28,21 @@
     return request;
   }
 
+  @Override
+  public String team() {
+    return request.team();
+  }
+
+  @Override
+  public int weight() {
+    return request.weight();
+  }
+
+  @Override
+  public double cost() {
+    return request.cost();
+  }
+
   /** Returns the monotonic time at which the request was offered. */
   public long offeredNanos() {
     return offeredNanos;
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/AdmissionQueue.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/AdmissionQueue.java
@@ -65,11 +65,12 @@
       AdmissionRequest request, long nowNanos) {
     admitQueued(nowNanos);
     RequestClassQueue classQueue = classQueue(request);
-    Optional<Reason> refusal = refusalReason(classQueue, request, nowNanos);
+    Admission admission = new Admission(request, nowNanos);
+    Optional<Reason> refusal = refusalReason(classQueue, admission, nowNanos);
     if (refusal.isPresent()) {
       return Either.left(classQueue.refusal(refusal.get(), nowNanos));
     }
-    Admission admission = classQueue.enqueue(request, nowNanos);
+    classQueue.enqueue(admission);
     admitQueued(nowNanos);
     return Either.right(admission);
   }
@@ -137,30 +138,30 @@
 
   @GuardedBy("this")
   private Optional<Reason> refusalReason(
-      RequestClassQueue classQueue, AdmissionRequest request, long nowNanos) {
+      RequestClassQueue classQueue, Admission admission, long nowNanos) {
     if (closed) {
       return Optional.of(Reason.CLOSED);
     }
-    if (request.deadlineNanos() - nowNanos <= 0) {
+    if (admission.request().deadlineNanos() - nowNanos <= 0) {
       return Optional.of(Reason.DEADLINE_PASSED);
     }
-    if (classQueue.wouldMissDeadline(request, nowNanos)) {
+    if (classQueue.wouldMissDeadline(admission, nowNanos)) {
       return Optional.of(Reason.WOULD_MISS_DEADLINE);
     }
     boolean fits = classQueue.queue().size() < settings.maxQueued();
-    return fits || tryDisplace(classQueue, request, nowNanos)
+    return fits || tryDisplace(classQueue, admission, nowNanos)
         ? Optional.empty()
         : Optional.of(Reason.QUEUE_FULL);
   }
 
   private static boolean tryDisplace(
-      RequestClassQueue classQueue, AdmissionRequest request, long nowNanos) {
+      RequestClassQueue classQueue, Admission admission, long nowNanos) {
     Optional<Admission> newestOfLargest = classQueue.queue().newestOfLargestTeam();
     if (newestOfLargest.isEmpty()) {
       return false;
     }
-    double largest = classQueue.queue().queuedPerWeight(newestOfLargest.get().request());
-    if (classQueue.queue().queuedPerWeight(request) >= largest) {
+    double largest = classQueue.queue().queuedPerWeight(newestOfLargest.get());
+    if (classQueue.queue().queuedPerWeight(admission) >= largest) {
       return false;
     }
     classQueue.refuse(newestOfLargest.get(), Reason.DISPLACED, nowNanos);
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/CompletionRate.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/EventRate.java
@@ -1,7 +1,7 @@
 package org.guavagw.internal.limits;
 
-/** Exponentially smoothed rate at which requests complete. Not thread-safe. */
-final class CompletionRate {
+/** Exponentially smoothed rate at which events occur. Not thread-safe. */
+public final class EventRate {
   private static final double NANOS_PER_SECOND = 1e9;
 
   private final double windowNanos;
@@ -9,17 +9,24 @@
   private long lastNanos;
   private boolean started;
 
-  CompletionRate(double windowNanos) {
+  /** Creates a rate that weighs an event of one window ago with 1/e. */
+  public EventRate(double windowNanos) {
     this.windowNanos = windowNanos;
   }
 
-  void onCompleted(long nowNanos) {
+  /** Counts an event. */
+  public void onEvent(long nowNanos) {
+    onEvent(1, nowNanos);
+  }
+
+  /** Counts an event with a weight. */
+  public void onEvent(double eventWeight, long nowNanos) {
     decay(nowNanos);
-    weight += 1;
+    weight += eventWeight;
   }
 
-  /** Returns the completions per second, or 0 before the first one. */
-  double perSecond(long nowNanos) {
+  /** Returns the events per second, or 0 before the first one. */
+  public double perSecond(long nowNanos) {
     decay(nowNanos);
     return weight / windowNanos * NANOS_PER_SECOND;
   }
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/RequestClassQueue.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/RequestClassQueue.java
@@ -12,16 +12,16 @@
   private static final double RUN_MARGIN = 2;
   private static final double MAX_RUN_SHARE = 0.5;
 
-  private final FairQueue queue = new FairQueue();
-  private final CompletionRate completions;
+  private final FairQueue<Admission> queue = new FairQueue<>();
+  private final EventRate completions;
   private int inFlight;
   private double meanRunNanos;
 
   RequestClassQueue(Duration completionWindow) {
-    this.completions = new CompletionRate(completionWindow.toNanos());
+    this.completions = new EventRate(completionWindow.toNanos());
   }
 
-  FairQueue queue() {
+  FairQueue<Admission> queue() {
     return queue;
   }
 
@@ -33,10 +33,8 @@
     return queue.size() > 0;
   }
 
-  Admission enqueue(AdmissionRequest request, long nowNanos) {
-    Admission admission = new Admission(request, nowNanos);
+  void enqueue(Admission admission) {
     queue.add(admission);
-    return admission;
   }
 
   /** Admits the next request, or refuses it if too little time is left to run it. */
@@ -46,14 +44,14 @@
       admission.refuse(refusal(Reason.DEADLINE_PASSED, nowNanos));
       return;
     }
-    queue.charge(admission.request());
+    queue.charge(admission);
     inFlight++;
     admission.admit(nowNanos);
   }
 
   void onReleased(Admission admission, long nowNanos) {
     inFlight--;
-    completions.onCompleted(nowNanos);
+    completions.onEvent(nowNanos);
     double sample = (double) (nowNanos - admission.admittedNanos());
     meanRunNanos += meanRunNanos == 0 ? sample : RUN_WEIGHT * (sample - meanRunNanos);
   }
@@ -77,12 +75,13 @@
   }
 
   /** Returns whether the queue drains too slowly for the request's deadline. */
-  boolean wouldMissDeadline(AdmissionRequest request, long nowNanos) {
+  boolean wouldMissDeadline(Admission admission, long nowNanos) {
+    AdmissionRequest request = admission.request();
     double rate = completions.perSecond(nowNanos);
     if (rate <= 0 || !hasQueued()) {
       return false;
     }
-    double waitNanos = queue.countAhead(request) / rate * NANOS_PER_SECOND;
+    double waitNanos = queue.countAhead(admission) / rate * NANOS_PER_SECOND;
     return waitNanos + requiredNanos(request, nowNanos) > request.deadlineNanos() - nowNanos;
   }
 
--- a/guavagw-core/src/main/java/org/guavagw/internal/limits/TeamQueue.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/limits/TeamQueue.java
@@ -1,15 +1,26 @@
 package org.guavagw.internal.limits;
 
-import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
 
 /**
- * One team's queued requests, oldest first, with its start tag of fair queueing. Not thread-safe.
+ * One team's queued items with its start tag of fair queueing, sorted by a comparator and, where
+ * that makes no difference, by age. Not thread-safe.
  */
-final class TeamQueue {
-  private final ArrayDeque<Admission> queued = new ArrayDeque<>();
+final class TeamQueue<T extends FairShareItem> {
+  private final Comparator<? super T> order;
+  private final List<T> queued = new ArrayList<>();
+  private final int maxCredit;
   private double startTag;
 
-  /** Returns the virtual start time of the team's oldest request. */
+  TeamQueue(Comparator<? super T> order, int maxCredit) {
+    this.order = order;
+    this.maxCredit = maxCredit;
+  }
+
+  /** Returns the virtual start time of the team's first item. */
   double startTag() {
     return startTag;
   }
@@ -22,54 +33,76 @@
     return queued.size();
   }
 
-  ArrayDeque<Admission> queued() {
-    return queued;
+  List<T> queued() {
+    return Collections.unmodifiableList(queued);
+  }
+
+  T first() {
+    return queued.get(0);
+  }
+
+  T last() {
+    return queued.get(queued.size() - 1);
   }
 
-  void add(Admission admission, double virtualTime) {
+  void add(T item, double virtualTime) {
     if (queued.isEmpty()) {
-      startTag = Math.max(startTag, virtualTime);
+      startTag = Math.max(startTag, earliestStartTag(item, virtualTime));
     }
-    queued.addLast(admission);
+    queued.add(countBefore(item), item);
   }
 
-  Admission poll() {
-    return queued.pollFirst();
+  /** Returns how many queued items would be before this one if it were added now. */
+  int countBefore(T item) {
+    int index = queued.size();
+    while (index > 0 && order.compare(queued.get(index - 1), item) > 0) {
+      index--;
+    }
+    return index;
+  }
+
+  T poll() {
+    return queued.remove(0);
   }
 
-  void charge(AdmissionRequest request) {
-    startTag += charge(request, 1);
+  void charge(T item) {
+    startTag += charge(item, 1);
   }
 
-  boolean remove(Admission admission) {
-    if (queued.peekLast() == admission) {
-      queued.pollLast();
+  boolean remove(T item) {
+    if (!queued.isEmpty() && last() == item) {
+      queued.remove(queued.size() - 1);
       return true;
     }
-    return queued.remove(admission);
+    return queued.remove(item);
   }
 
   double queuedPerWeight() {
-    return (double) queued.size() / queued.getFirst().request().weight();
+    return (double) queued.size() / first().weight();
   }
 
-  /** Returns the virtual start time of a request added behind all queued ones. */
-  double startTagOfNew(AdmissionRequest request, double virtualTime) {
+  /** Returns the virtual start time of an item added behind all queued ones. */
+  double startTagOfNew(T item, double virtualTime) {
     return queued.isEmpty()
-        ? Math.max(startTag, virtualTime)
-        : startTag + charge(request, queued.size());
+        ? Math.max(startTag, earliestStartTag(item, virtualTime))
+        : startTag + charge(item, queued.size());
+  }
+
+  /** Returns the start tag of a team that has been idle, which has some work to its credit. */
+  private double earliestStartTag(T item, double virtualTime) {
+    return virtualTime - charge(item, maxCredit);
   }
 
-  /** Returns approximately how many queued requests start up to the given virtual time. */
+  /** Returns approximately how many queued items start up to the given virtual time. */
   int countStartingBy(double tag) {
     if (queued.isEmpty() || startTag > tag) {
       return 0;
     }
-    double chargePerRequest = charge(queued.getFirst().request(), 1);
-    return (int) Math.min(queued.size(), Math.floor((tag - startTag) / chargePerRequest) + 1);
+    double chargePerItem = charge(first(), 1);
+    return (int) Math.min(queued.size(), Math.floor((tag - startTag) / chargePerItem) + 1);
   }
 
-  private static double charge(AdmissionRequest request, int count) {
-    return count * request.cost() / request.weight();
+  private double charge(T item, int count) {
+    return count * item.cost() / item.weight();
   }
 }
--- a/guavagw-core/src/test/java/org/guavagw/internal/limits/AdmissionQueueTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/limits/AdmissionQueueTest.java
@@ -160,7 +160,7 @@
 
   @Property(tries = 50, seed = "20")
   void shouldServeTeamsInProportionToTheirWeights(@ForAll Random random) {
-    FairQueue queue = new FairQueue();
+    FairQueue<Admission> queue = new FairQueue<>();
     int[] weights = {1, 2, 4};
     for (int i = 0; i < 700; i++) {
       for (int w : weights) {
@@ -172,7 +172,7 @@
     int rounds = 100 + random.nextInt(500);
     int[] served = new int[5];
     for (int i = 0; i < rounds; i++) {
-      AdmissionRequest next = queue.poll().request();
+      Admission next = queue.poll();
       queue.charge(next);
       served[next.weight()]++;
     }
