Decide which requests start, wait or are refused while servers are full

Cause: each admitted request was sent at once; when servers were full, callers got what the servers said, whatever their rank, team or time left. Change: QueueingScheduler in place of ImmediateScheduler, with one queue for each service at each entry, bounded in requests and bytes. Order: rank, start-time fair queueing over teams, latest start in time; each route and team keeps 0.3 of the average service. A request is refused when its expected wait doesn't fit, with a delay from the queue and the drain rate, spread. While a service has no room, entries tell each other its demand and each limits itself to its max-min share of what runs; nothing is sent else. Exchange tells when an answer begins, from which run times are learned. AdmissionHistoryTest, EntryShareTest and DemandExchangeTest pass.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import org.guavagw.gateway.internal.admission.QueueSettings;
 
 /**
  * Settings of a gateway process. Immutable.
@@ -24,6 +25,7 @@
  * @param acceptedConfidence confidence in percent from which an answer of the smallest model is
  *     accepted
  * @param shutdownLimit maximum duration of a shutdown
+ * @param queues bounds of the queues of requests that wait for room
  */
 public record GatewaySettings(
     String nodeName,
@@ -41,4 +43,5 @@
     double retrySlack,
     Duration retryWindow,
     int acceptedConfidence,
-    Duration shutdownLimit) {}
+    Duration shutdownLimit,
+    QueueSettings queues) {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/RequestScheduler.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/RequestScheduler.java
@@ -10,6 +10,9 @@
   /** Starts, queues or refuses a new request. */
   void submit(WaitingRequest request, long nowNanos);
 
+  /** Records that the answer to a started request has begun. */
+  void onAnswering(WaitingRequest request, long nowNanos);
+
   /**
    * Records the end of a request, whatever became of it: one that waits is removed, and one that
    * was started leaves room for another.
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/RequestTraits.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/RequestTraits.java
@@ -8,6 +8,7 @@
  * @param route name of its route
  * @param rank priority of its team, or else of its route; 0 is the most urgent
  * @param cost expected use of backend servers, relative to other requests of the service
+ * @param bytes memory that the request holds while it waits
  * @param arrivedNanos monotonic time at which its head arrived
  * @param objectiveNanos monotonic time by which its answer should begin
  * @param deadlineNanos monotonic time by which the caller must have its answer
@@ -18,6 +19,7 @@
     String route,
     int rank,
     double cost,
+    long bytes,
     long arrivedNanos,
     long objectiveNanos,
     long deadlineNanos) {}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/WaitingRequest.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/WaitingRequest.java
@@ -4,6 +4,9 @@
 
 /** A request that has not been sent to any backend server yet. Traffic thread only. */
 public interface WaitingRequest {
+  /** Returns the id that the caller gave it. */
+  String id();
+
   /** Returns what decides the order of this request. */
   RequestTraits traits();
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
@@ -38,7 +38,9 @@
           new PeerMessageType<>("config-query", ConfigQuery.class),
           new PeerMessageType<>("config-answer", ConfigAnswer.class),
           new PeerMessageType<>("sessions", SessionReport.class),
-          new PeerMessageType<>("reach", ReachReport.class));
+          new PeerMessageType<>("reach", ReachReport.class),
+          new PeerMessageType<>("demand", DemandReport.class),
+          new PeerMessageType<>("demand-summary", DemandSummary.class));
 
   private final PeerAddresses addresses = new PeerAddresses();
   private final PeerNetwork network;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -28,7 +28,7 @@
   private final ExchangeDependencies shared;
   private final AdmittedRequest request;
   private final AnswerSink sink;
-  private final Runnable onDone;
+  private final ExchangeListener listener;
   private final ExchangeLog log;
   private final ExchangeGuard guard;
   private final OutcomeReporter outcomes;
@@ -53,11 +53,15 @@
   private OptionalLong lastEventId;
   private int eventsForwarded;
 
-  Exchange(ExchangeDependencies shared, AdmittedRequest request, AnswerSink sink, Runnable onDone) {
+  Exchange(
+      ExchangeDependencies shared,
+      AdmittedRequest request,
+      AnswerSink sink,
+      ExchangeListener listener) {
     this.shared = shared;
     this.request = request;
     this.sink = sink;
-    this.onDone = onDone;
+    this.listener = listener;
     this.guard = new ExchangeGuard(shared, request);
     this.log = new ExchangeLog(shared, request, guard.fingerprint());
     this.plan = RequestPlan.of(request);
@@ -127,7 +131,7 @@
     }
     deadlineTimer.cancel(false);
     var state = ForwardedExchange.State.of(plan, lastEventId, streamStarted, counts);
-    forwarded = new ForwardedExchange(shared, request, state, sink, onDone, log);
+    forwarded = new ForwardedExchange(shared, request, state, sink, listener::onDone, log);
     forwarded.start();
   }
 
@@ -261,6 +265,7 @@
 
   private void onAnswerBegun(long now) {
     guard.onAnswered(now);
+    listener.onAnswering();
     outcomes.reportBegin(progress, model, now);
   }
 
@@ -485,6 +490,6 @@
     endAttempt();
     request.body().release();
     answer.run();
-    onDone.run();
+    listener.onDone();
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -16,7 +16,11 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.guavagw.gateway.GatewaySettings;
-import org.guavagw.gateway.internal.admission.ImmediateScheduler;
+import org.guavagw.gateway.internal.admission.AdmissionLog;
+import org.guavagw.gateway.internal.admission.AdmissionMetrics;
+import org.guavagw.gateway.internal.admission.CombinedListener;
+import org.guavagw.gateway.internal.admission.DemandExchange;
+import org.guavagw.gateway.internal.admission.QueueingScheduler;
 import org.guavagw.gateway.internal.cascade.ModelSelector;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.control.CurrentControlView;
@@ -30,6 +34,8 @@
 import org.guavagw.gateway.internal.logging.EventLog;
 import org.guavagw.gateway.internal.metrics.GatewayMetrics;
 import org.guavagw.gateway.internal.peers.DataCentreWork;
+import org.guavagw.gateway.internal.peers.DemandReport;
+import org.guavagw.gateway.internal.peers.DemandSummary;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
@@ -69,6 +75,9 @@
   /** How often state of backend servers that no longer exist is removed. */
   private static final Duration CLEANUP_PERIOD = Duration.ofSeconds(1);
 
+  /** Time within which reports of other entries lead to one poll of the scheduler. */
+  private static final Duration REPORT_BATCH_TIME = Duration.ofMillis(10);
+
   /**
    * Fraction of its share of the common retry limits that an entry uses; the remainder allows for
    * entries that count at different times.
@@ -93,8 +102,11 @@
   private final GracefulShutdown shutdown;
   private final long startNanos;
   private final WorkReportSender workReportSender;
+  private final QueueingScheduler scheduler;
+  private final DemandExchange demand;
   private final Closer closer = new Closer();
   private boolean reportScheduled;
+  private boolean pollScheduled;
 
   /**
    * Creates a relay, which starts to serve callers once the first configuration is complete or
@@ -141,11 +153,13 @@
     this.reachability = new ReachabilityChecker(pool::checkReachable);
     this.crashGuard = newCrashGuard(log);
     this.suspects = suspects;
+    this.scheduler = newScheduler(settings, log, metrics);
+    this.demand = new DemandExchange(scheduler, members, hubSelector, peers::send);
     ExchangeDependencies exchangeDependencies =
         new ExchangeDependencies(
             currentView,
             new AdmissionCheck(currentView, settings.maxKeyAge()),
-            new ImmediateScheduler(),
+            scheduler,
             selector,
             versions,
             rollouts,
@@ -179,6 +193,7 @@
       GatewayMetrics metrics, EventLoopLag lag, Set<CallerConnection> connections) {
     metrics.gauge("event_loop_lag_ms", () -> lag.recent(ticker.read()).toMillis());
     metrics.gauge("requests_in_flight", inFlight::count);
+    metrics.gauge("requests_waiting", scheduler::waiting);
     metrics.gauge("prompt_parts_held", () -> crashGuard.quarantine().heldPartCount());
     metrics.gauge("requests_held", () -> crashGuard.quarantine().heldRequestCount());
     metrics.gauge("caller_connections", connections::size);
@@ -232,6 +247,8 @@
     forwarding.report(connectivity.cutOffServices());
     sendWorkReports();
     checks.run();
+    demand.tick(ticker.read());
+    pollScheduler();
   }
 
   private void exchangeReports(
@@ -240,12 +257,28 @@
         new WorkReportReceiver(
             loads, this::onNotices, this::maxBackendConnections, ticker, log, metrics);
     peers.onMessage(
-        WorkReport.class, (from, message) -> receiver.onReport(from.memberId(), message));
+        WorkReport.class,
+        (from, message) -> {
+          receiver.onReport(from.memberId(), message);
+          pollIfWaiting();
+        });
     peers.onMessage(
         DataCentreWork.class,
-        (from, message) -> receiver.onDataCentreWork(from.memberId(), message));
+        (from, message) -> {
+          receiver.onDataCentreWork(from.memberId(), message);
+          pollIfWaiting();
+        });
+    peers.onMessage(
+        WorkSummary.class,
+        (from, message) -> {
+          receiver.onSummary(from.memberId(), message);
+          pollIfWaiting();
+        });
     peers.onMessage(
-        WorkSummary.class, (from, message) -> receiver.onSummary(from.memberId(), message));
+        DemandReport.class,
+        (from, message) -> demand.onReport(from.memberId(), message, ticker.read()));
+    peers.onMessage(
+        DemandSummary.class, (from, message) -> demand.onSummary(message, ticker.read()));
     SessionReporter sessions =
         new SessionReporter(versions, currentView, members, peers, ticker::read);
     runEvery(SessionReporter.PERIOD, () -> sessions.tick(ticker.read()));
@@ -276,6 +309,39 @@
     return members.get().limitShare(server.id(), server.dataCentre(), perSecond);
   }
 
+  private QueueingScheduler newScheduler(
+      GatewaySettings settings, EventLog log, GatewayMetrics metrics) {
+    return new QueueingScheduler(
+        settings.queues(),
+        new CombinedListener(new AdmissionMetrics(metrics.registry()), new AdmissionLog(log)),
+        nanos -> runAt(nanos, this::pollScheduler),
+        () -> ThreadLocalRandom.current().nextDouble());
+  }
+
+  private void runAt(long nanos, Runnable task) {
+    eventLoop.schedule(task, nanos - ticker.read(), TimeUnit.NANOSECONDS);
+  }
+
+  /**
+   * Polls the scheduler soon, as servers may have room now; once for reports that come together.
+   */
+  private void pollIfWaiting() {
+    if (!pollScheduled && scheduler.waiting() > 0) {
+      pollScheduled = true;
+      eventLoop.schedule(
+          () -> {
+            pollScheduled = false;
+            pollScheduler();
+          },
+          REPORT_BATCH_TIME.toMillis(),
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void pollScheduler() {
+    scheduler.poll(ticker.read());
+  }
+
   private CrashGuard newCrashGuard(EventLog log) {
     return new CrashGuard(
         pool::checkReachable,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RequestPlan.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/RequestPlan.java
@@ -45,6 +45,7 @@
         route.name(),
         rankOf(request),
         1 + request.caller().promptTokens() + ANSWER_TOKEN_COST * request.caller().answerTokens(),
+        request.body().readableBytes(),
         request.arrivedNanos(),
         request.arrivedNanos() + route.objective().toNanos(),
         deadlineNanos);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ScheduledExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ScheduledExchange.java
@@ -6,15 +6,16 @@
 import org.guavagw.gateway.internal.admission.WaitingRequest;
 
 /**
- * An exchange that starts once the scheduler lets it, and whose end the scheduler learns. Traffic
- * thread only.
+ * An exchange that starts once the scheduler lets it, and whose progress the scheduler learns.
+ * Traffic thread only.
  *
  * <p>Invariant: the scheduler is notified of the end exactly once, as an exchange ends once.
  */
-final class ScheduledExchange implements WaitingRequest {
+final class ScheduledExchange implements WaitingRequest, ExchangeListener {
   private final RequestScheduler scheduler;
   private final ExchangeDependencies shared;
   private final Exchange exchange;
+  private final String id;
   private final RequestTraits traits;
   private final Runnable onDone;
 
@@ -23,7 +24,8 @@
     this.shared = shared;
     this.scheduler = shared.scheduler();
     this.onDone = onDone;
-    this.exchange = new Exchange(shared, request, sink, this::onExchangeDone);
+    this.id = request.caller().id();
+    this.exchange = new Exchange(shared, request, sink, this);
     this.traits = exchange.traits();
   }
 
@@ -36,6 +38,11 @@
     return exchange;
   }
 
+  @Override
+  public String id() {
+    return id;
+  }
+
   @Override
   public RequestTraits traits() {
     return traits;
@@ -51,7 +58,13 @@
     exchange.refuseUnstarted(refusal);
   }
 
-  private void onExchangeDone() {
+  @Override
+  public void onAnswering() {
+    scheduler.onAnswering(this, shared.ticker().read());
+  }
+
+  @Override
+  public void onDone() {
     onDone.run();
     scheduler.onEnded(this, shared.ticker().read());
   }
