--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/GatewaySettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import org.guavagw.gateway.internal.admission.QueueSettings;
 
 /**
  * Settings of a gateway process. Immutable.
@@ -28,6 +29,7 @@
  *     accepted
  * @param shutdownLimit maximum duration of a shutdown
  * @param resources what the machine gives to this process
+ * @param queues bounds of the queues of requests that wait for room
  */
 public record GatewaySettings(
     String nodeName,
@@ -47,7 +49,8 @@
     Duration retryWindow,
     int acceptedConfidence,
     Duration shutdownLimit,
-    ProcessResources resources) {
+    ProcessResources resources,
+    QueueSettings queues) {
   public GatewaySettings {
     region = Set.copyOf(region);
   }
