Send requests to full servers while no scheduler lets them wait

Cause: ImmediateScheduler refuses a request for which placement reports no room, so that a server's own queue was never used; PlatformGatewayTest and SlowRolloutTest showed it.

Change: RequestPlacer reports no room only if requests may wait at the entry; Relay sets that once its scheduler queues.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -78,6 +78,9 @@
    */
   private static final double RETRY_LIMIT_FRACTION = 0.95;
 
+  /** Requests do not wait here, as {@link ImmediateScheduler} would refuse them. */
+  private static final boolean REQUESTS_WAIT_FOR_ROOM = false;
+
   private final CurrentControlView currentView;
   private final Supplier<Members> members;
   private final Ticker ticker;
@@ -314,7 +317,9 @@
 
   private BackendSelector newSelector(
       VersionSelector versions, ColdStartLimiter coldStartLimiter, String dataCentre) {
-    var placer = new RequestPlacer(loads, () -> ThreadLocalRandom.current().nextDouble());
+    var placer =
+        new RequestPlacer(
+            loads, () -> ThreadLocalRandom.current().nextDouble(), REQUESTS_WAIT_FOR_ROOM);
     return new BackendSelector(versions, coldStartLimiter, availability, placer, dataCentre);
   }
 
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerRoomTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerRoomTest.java
@@ -53,7 +53,7 @@
   @ValueSource(longs = {1, 2, 3})
   void shouldNotWaitAtAFullServerBesideAFreeSlot(long seed) {
     Random random = new Random(seed);
-    Placer placer = new RequestPlacer(loads, random::nextDouble);
+    Placer placer = new RequestPlacer(loads, random::nextDouble, true);
     List<BackendServer> servers = servers(3);
     Map<BackendServer, Integer> running = new HashMap<>();
     PriorityQueue<Running> ends = new PriorityQueue<>();
@@ -102,7 +102,7 @@
   void shouldNotPromiseTheMemoryOfAnEngineTwice() {
     EngineSpec engine = new EngineSpec(48, 100_000, List.of());
     LoadTracker engines = new LoadTracker(service -> Optional.of(engine));
-    Placer placer = new RequestPlacer(engines, () -> 0.5);
+    Placer placer = new RequestPlacer(engines, () -> 0.5, true);
     List<BackendServer> servers = servers(4);
     Map<BackendServer, Integer> promised = new HashMap<>();
     Random random = new Random(1);
@@ -136,7 +136,7 @@
       LoadTracker own = new LoadTracker();
       own.peerReports()
           .onReport("other", new WorkReport(new ServerWork(work, ServerNotices.NONE)), 0);
-      Placer placer = new RequestPlacer(own, () -> 0.5);
+      Placer placer = new RequestPlacer(own, () -> 0.5, true);
       List<PromptPart> prompt = List.of(new PromptPart("own" + seed + "/" + entry, 1500));
       placer
           .place(query(servers, prompt, 200))
@@ -157,7 +157,7 @@
     double[] speeds = {0.6, 1, 1.6, 0.6, 1, 1.6};
     double[] freeAt = new double[speeds.length];
     Random random = new Random(seed);
-    Placer placer = new RequestPlacer(loads, random::nextDouble);
+    Placer placer = new RequestPlacer(loads, random::nextDouble, true);
     List<BackendServer> servers = servers(speeds.length);
     PriorityQueue<Running> ends = new PriorityQueue<>();
     double now = 0;
@@ -197,7 +197,7 @@
     var first = loads.onSent(holder, MODEL, prompt("s", 100, 1), 4100, 0);
     loads.onPrefillFinished(holder, first);
     loads.onEnded(holder, first, 500);
-    Placer placer = new RequestPlacer(loads, () -> 0.5);
+    Placer placer = new RequestPlacer(loads, () -> 0.5, true);
 
     PlacementQuery query = query(servers, prompt("s", 100, 2), 0);
     assertThat(placer.place(query).chosen()).contains(holder);
@@ -224,7 +224,7 @@
     List<BackendServer> servers = servers(20);
     Map<BackendServer, Integer> chosen = new HashMap<>();
     for (int entry = 0; entry < 24; entry++) {
-      Placer placer = new RequestPlacer(new LoadTracker(), () -> 0.5);
+      Placer placer = new RequestPlacer(new LoadTracker(), () -> 0.5, true);
       BackendServer server =
           placer.place(query(servers, prompt("s", 2000, entry), entry)).chosen().orElseThrow();
       chosen.merge(server, 1, Integer::sum);
