--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -218,7 +218,7 @@
   }
 
   private void logAndRefuse(Refusal refusal) {
-    logRefusal(head, refusal);
+    RefusalLog.write(shared, callerId(), head.uri(), refusal);
     refuseIncomplete(refusal);
   }
 
@@ -258,7 +258,7 @@
             .filterOrElse(a -> inFlight, a -> ExchangeRefusals.entryStopping());
     if (admission.isLeft()) {
       completeBody.release();
-      logRefusal(completeHead, admission.getLeft());
+      RefusalLog.write(shared, callerId(), completeHead.uri(), admission.getLeft());
       RefusalWriter.write(this, admission.getLeft());
       return;
     }
@@ -296,20 +296,6 @@
             admission -> ExchangeRefusals.entryStopping());
   }
 
-  private void logRefusal(HttpRequest request, Refusal refusal) {
-    shared
-        .log()
-        .failure("request_refused")
-        .with("id", callerId())
-        .with("target", request.uri())
-        .with("status", refusal.code().httpStatus())
-        .with("reason", refusal.reason())
-        .with("config_version", shared.exchangeDependencies().currentView().get().configVersion())
-        .with("orders_age_ms", shared.exchangeDependencies().currentView().ordersAge().toMillis())
-        .write();
-    shared.exchangeDependencies().metrics().onRefused(refusal.code().wireName());
-  }
-
   private String callerId() {
     return caller == null ? "" : caller.id();
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -56,10 +56,6 @@
 import org.guavagw.gateway.internal.rollout.SessionReporter;
 import org.guavagw.gateway.internal.rollout.VersionSelector;
 import org.guavagw.gateway.model.BackendServer;
-import org.guavagw.gateway.model.CallerLimits;
-import org.guavagw.gateway.model.EngineSpec;
-import org.guavagw.gateway.model.GatewayConfig;
-import org.guavagw.gateway.model.ServiceSpec;
 import org.guavagw.gateway.spi.RelayFormat;
 import org.guavagw.internal.lifecycle.Closer;
 import org.guavagw.internal.lifecycle.InFlightRequests;
@@ -89,13 +85,13 @@
    */
   private static final double RETRY_LIMIT_FRACTION = 0.95;
 
-  /** Requests do not wait here, as {@link ImmediateScheduler} would refuse them. */
-  private static final boolean REQUESTS_WAIT_FOR_ROOM = false;
-
   private final CurrentControlView currentView;
   private final Supplier<Members> members;
   private final Ticker ticker;
-  private final LoadTracker loads = new LoadTracker(this::engineOf);
+  private final ConfiguredLimits limits;
+  private final LoadTracker loads;
+  private final ColdStartLimiter coldStartLimiter;
+  private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
   private final ServerAvailability availability;
   private final CrashGuard crashGuard;
   private final SuspectStore suspects;
@@ -138,6 +134,9 @@
       SuspectStore suspects) {
     this.currentView = currentView;
     this.members = members;
+    this.limits = new ConfiguredLimits(currentView, members);
+    this.loads = new LoadTracker(limits::engineOf);
+    this.coldStartLimiter = new ColdStartLimiter(limits::coldRequestsPerSecond);
     this.shutdown = new GracefulShutdown(ticker);
     this.ticker = ticker;
     this.startNanos = ticker.read();
@@ -155,11 +154,9 @@
     this.availability = newAvailability(log);
     this.workReportSender =
         new WorkReportSender(loads, members, hubSelector, this::noticesToTell, peers::send);
-    ColdStartLimiter coldStartLimiter = new ColdStartLimiter(this::coldRequestsPerSecond);
     var versions =
         new VersionSelector(settings.sessionTimeout(), settings.exposureLimit(), rollouts);
-    BackendSelector selector = newSelector(versions, coldStartLimiter, settings.dataCentre());
-    Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    BackendSelector selector = newSelector(versions, settings);
     this.reachability = new ReachabilityChecker(pool::checkReachable);
     this.crashGuard = newCrashGuard(log);
     this.suspects = suspects;
@@ -272,7 +269,7 @@
     exchangeMeasurements(peers, hubSelector, metrics);
     WorkReportReceiver receiver =
         new WorkReportReceiver(
-            loads, this::onNotices, this::maxBackendConnections, ticker, log, metrics);
+            loads, this::onNotices, limits::maxBackendConnections, ticker, log, metrics);
     peers.onMessage(
         WorkReport.class,
         (from, message) -> {
@@ -312,38 +309,6 @@
     runEvery(MeasurementExchange.PERIOD, () -> exchange.tick(ticker.read()));
   }
 
-  private Optional<EngineSpec> engineOf(String service) {
-    return currentView
-        .get()
-        .config()
-        .flatMap(c -> Optional.ofNullable(c.services().get(service)))
-        .flatMap(ServiceSpec::engine);
-  }
-
-  private int maxBackendConnections() {
-    return currentView.get().config().stream()
-        .flatMap(c -> c.services().values().stream())
-        .mapToInt(ServiceSpec::maxConnections)
-        .max()
-        .orElse(Integer.MAX_VALUE);
-  }
-
-  private double coldRequestsPerSecond(BackendServer server) {
-    double toleratedPerSecond =
-        currentView
-            .get()
-            .config()
-            .flatMap(c -> Optional.ofNullable(c.services().get(server.service())))
-            .map(ServiceSpec::coldRequestsPerSecond)
-            .filter(perSecond -> perSecond > 0)
-            .orElse(Double.MAX_VALUE);
-    return members.get().coldShare(server.id(), server.dataCentre(), toleratedPerSecond);
-  }
-
-  private double requestLimitShare(BackendServer server, double perSecond) {
-    return members.get().limitShare(server.id(), server.dataCentre(), perSecond);
-  }
-
   private QueueingScheduler newScheduler(
       GatewaySettings settings, EventLog log, GatewayMetrics metrics) {
     return new QueueingScheduler(
@@ -387,12 +352,14 @@
         log);
   }
 
-  private BackendSelector newSelector(
-      VersionSelector versions, ColdStartLimiter coldStartLimiter, String dataCentre) {
+  private BackendSelector newSelector(VersionSelector versions, GatewaySettings settings) {
     var placer =
         new RequestPlacer(
-            loads, () -> ThreadLocalRandom.current().nextDouble(), REQUESTS_WAIT_FOR_ROOM);
-    return new BackendSelector(versions, coldStartLimiter, availability, placer, dataCentre);
+            loads,
+            () -> ThreadLocalRandom.current().nextDouble(),
+            settings.queues().maxRequests() > 0);
+    return new BackendSelector(
+        versions, coldStartLimiter, availability, placer, settings.dataCentre());
   }
 
   private void probe(BackendServer server) {
@@ -408,7 +375,7 @@
     return new CallerConnectionDependencies(
         dependencies,
         false,
-        this::callerLimits,
+        limits::callerLimits,
         ConcurrentHashMap.newKeySet(),
         readBarrier,
         shutdown,
@@ -423,17 +390,13 @@
         MemoryLimits.of(settings.resources()), new EvictionReporter(log, metrics));
   }
 
-  private boolean testsBrittleServer(BackendServer server) {
-    return members.get().participates(server.id(), server.dataCentre(), BrittleServers.TESTERS);
-  }
-
   private ServerAvailability newAvailability(EventLog log) {
     DoubleSupplier random = () -> ThreadLocalRandom.current().nextDouble();
     return new ServerAvailability(
         new LeavingServers(),
         new ServerPauses(random),
-        new ServerRateLimits(this::requestLimitShare, random),
-        new BrittleServers(loads::totalInFlight, this::testsBrittleServer, random),
+        new ServerRateLimits(limits::requestLimitShare, random),
+        new BrittleServers(loads::totalInFlight, limits::testsBrittleServer, random),
         this::reportWorkSoon,
         log);
   }
@@ -446,11 +409,6 @@
         startNanos);
   }
 
-  private CallerLimits callerLimits() {
-    Optional<GatewayConfig> config = currentView.get().config();
-    return config.map(GatewayConfig::limits).orElse(CallerLimits.DEFAULT);
-  }
-
   private void removeStaleState() {
     ControlView view = currentView.get();
     Set<String> incarnations =
