--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -449,8 +449,9 @@
     if (standing() == Standing.RECEIVING) {
       refuseIncomplete(ExchangeRefusals.noMemoryFor(reason));
     } else {
-      closing = true;
-      context.close();
+      abort();
+      answerBytes = 0;
+      reportHeldBytes();
     }
   }
 
@@ -494,7 +495,6 @@
       startIdleTimer(limits().idleTimeout().toMillis());
       return;
     }
-    closing = true;
-    context.close();
+    abort();
   }
 }
