--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ConfiguredLimits.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ConfiguredLimits.java
@@ -65,9 +65,6 @@
   }
 
   private Optional<ServiceSpec> service(String name) {
-    return currentView
-        .get()
-        .config()
-        .flatMap(c -> Optional.ofNullable(c.services().get(name)));
+    return currentView.get().config().flatMap(c -> Optional.ofNullable(c.services().get(name)));
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -7,7 +7,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
