--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -144,12 +144,8 @@
     EventLoopLag lag = new EventLoopLag(callerServer.listeningSinceNanos());
     PendingReadBarrier readBarrier = new PendingReadBarrier(eventLoop, lag, ticker);
     this.connectivity = new BackendConnectivity(this::probe, this::serversInService, ticker, log);
-    this.pool =
-        closer.register(
-            new BackendConnectionPool(transport, format, readBarrier, connectivity, true, ticker));
-    this.forwarding =
-        closer.register(
-            new EntryForwarding(transport, format, readBarrier, members, peers, ticker));
+    this.pool = closer.register(newPool(transport, format, readBarrier));
+    this.forwarding = closer.register(newForwarding(transport, format, readBarrier, peers));
     this.availability = newAvailability(log);
     this.workReportSender =
         new WorkReportSender(loads, members, hubSelector, this::noticesToTell, peers::send);
@@ -195,6 +191,19 @@
     serveGauges(metrics, lag, connectionDependencies.connections());
   }
 
+  private BackendConnectionPool newPool(
+      Transport transport, RelayFormat format, PendingReadBarrier readBarrier) {
+    return new BackendConnectionPool(transport, format, readBarrier, connectivity, true, ticker);
+  }
+
+  private EntryForwarding newForwarding(
+      Transport transport,
+      RelayFormat format,
+      PendingReadBarrier readBarrier,
+      PeerMessenger peers) {
+    return new EntryForwarding(transport, format, readBarrier, members, peers, ticker);
+  }
+
   private void serveGauges(
       GatewayMetrics metrics, EventLoopLag lag, Set<CallerConnection> connections) {
     metrics.gauge("event_loop_lag_ms", () -> lag.recent(ticker.read()).toMillis());
