--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/QueuedRequest.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/QueuedRequest.java
@@ -1,5 +1,6 @@
 package org.guavagw.gateway.internal.admission;
 
+import java.time.Duration;
 import java.util.Comparator;
 import org.guavagw.internal.limits.FairShareItem;
 
@@ -17,11 +18,15 @@
   /** Part of its latency objective for which a request may wait only to be refused. */
   private static final int HOLD_DIVISOR = 8;
 
+  private static final long MAX_BLOCKING_NANOS = Duration.ofMillis(250).toNanos();
+
   private final WaitingRequest request;
   private final RequestTraits traits;
   private State state = State.WAITING;
   private long latestStartNanos;
   private int bypasses;
+  private boolean blocking;
+  private long blockingSinceNanos;
   private long startedNanos;
   private boolean answering;
   private boolean queued;
@@ -101,8 +106,23 @@
     bypasses++;
   }
 
-  int bypasses() {
-    return bypasses;
+  /**
+   * Returns whether others have started before this request so often that none may for a while.
+   * Ends after some time, as it may be the only one for which there is no room.
+   */
+  boolean blocksOthers(int maxBypasses, long nowNanos) {
+    if (bypasses < maxBypasses) {
+      return false;
+    }
+    if (!blocking) {
+      blocking = true;
+      blockingSinceNanos = nowNanos;
+    }
+    if (nowNanos - blockingSinceNanos > MAX_BLOCKING_NANOS) {
+      blocking = false;
+      bypasses = 0;
+    }
+    return blocking;
   }
 
   long startedNanos() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/QueueingScheduler.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/QueueingScheduler.java
@@ -47,6 +47,11 @@
         .submit(request, nowNanos);
   }
 
+  /** Starts no waiting request any more, as this entry ends what is left. */
+  public void stop() {
+    queues.values().forEach(ServiceQueue::stop);
+  }
+
   private ShareLimit newShareLimit() {
     return new ShareLimit(settings.minServiceRatio(), random);
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/ServiceQueue.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/ServiceQueue.java
@@ -47,6 +47,7 @@
   private final RetryAfterPolicy retryAfter;
   private final AdmissionListener listener;
   private final PollTimer timer;
+  private boolean stopped;
   private boolean draining;
   private long forgottenNanos;
   private boolean everFull;
@@ -87,16 +88,18 @@
     listener.onOffered(traits);
     request.setLatestStart(runTimes, nowNanos);
     startWaiting(1, nowNanos);
-    boolean first = share.allows(drain.running()) && (queue.isEmpty() || mayOvertake(request));
+    boolean first =
+        share.allows(drain.running()) && (queue.isEmpty() || mayOvertake(request, nowNanos));
     if (!first || !tryStart(request, nowNanos)) {
       queueOrRefuse(request, nowNanos);
     }
   }
 
   /** Returns whether no request waits that goes before a new one and could start. */
-  private boolean mayOvertake(QueuedRequest request) {
+  private boolean mayOvertake(QueuedRequest request, long nowNanos) {
     QueuedRequest first = queue.heads().get(0);
-    return request.traits().rank() < first.traits().rank() || first.bypasses() < MAX_BYPASSES;
+    return request.traits().rank() < first.traits().rank()
+        || !first.blocksOthers(MAX_BYPASSES, nowNanos);
   }
 
   private void queueOrRefuse(QueuedRequest request, long nowNanos) {
@@ -188,6 +191,11 @@
     startBeyondShare(nowNanos);
   }
 
+  /** Starts no waiting request any more, as this entry ends what is left. */
+  void stop() {
+    stopped = true;
+  }
+
   void poll(long nowNanos) {
     if (nowNanos - forgottenNanos >= FORGET_PERIOD.toNanos()) {
       forgottenNanos = nowNanos;
@@ -214,7 +222,7 @@
    * @param maxTries how many of the first ones are tried
    */
   private void startWaiting(int maxTries, long nowNanos) {
-    if (draining || queue.isEmpty()) {
+    if (draining || stopped || queue.isEmpty()) {
       // If a request has ended while another one is being started, that loop continues.
       return;
     }
@@ -249,7 +257,7 @@
         withoutRoom.forEach(QueuedRequest::onBypassed);
         return true;
       }
-      if (request.bypasses() >= MAX_BYPASSES) {
+      if (request.blocksOthers(MAX_BYPASSES, nowNanos)) {
         return false;
       }
       withoutRoom.add(request);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlPlane.java
@@ -43,7 +43,7 @@
   private static final Duration BACKENDS_BATCH_DELAY_PER_ENTRY = Duration.ofMillis(6);
 
   /** Well below the time limit for no longer sending requests to a backend server that drains. */
-  private static final Duration MAX_BACKENDS_BATCH_DELAY = Duration.ofMillis(800);
+  private static final Duration MAX_BACKENDS_BATCH_DELAY = Duration.ofMillis(550);
 
   /** An entry that follows a hub by then never polls the store for changes. */
   private static final Duration FIRST_POLL_DELAY = Duration.ofMillis(850);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlStorePolling.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ControlStorePolling.java
@@ -60,22 +60,30 @@
 
   @Override
   public void start() {
+    endPatience();
     mode = Mode.ALL;
     generation++;
-    orders.setPatient(false);
     pollers.forEach(TablePoller::start);
   }
 
   @Override
   public void startWithOrders() {
     if (mode == Mode.IDLE || mode == Mode.SLOW_ORDERS) {
+      endPatience();
       mode = Mode.ORDERS;
       generation++;
-      orders.setPatient(false);
       orders.start();
     }
   }
 
+  /** Lets the orders be read at once where the next retry may be seconds away. */
+  private void endPatience() {
+    orders.setPatient(false);
+    if (mode == Mode.SLOW_ORDERS) {
+      orders.retryNow();
+    }
+  }
+
   @Override
   public void startSlowly() {
     if (mode == Mode.SLOW_ORDERS || orders.isSucceeding()) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
@@ -19,6 +19,9 @@
 
   private static final int MAX_CHUNK_SIZE_DIGITS = 15;
 
+  /** Bytes that are kept for a line between messages. */
+  private static final int MIN_LINE_CAPACITY = 512;
+
   /**
    * Header and trailer fields of one message. Each takes far more memory than its bytes; clients
    * and servers send some dozens.
@@ -28,7 +31,7 @@
   private HeadRules rules;
   private State state = State.START_LINE;
   private FieldLines fields = new FieldLines();
-  private byte[] line = new byte[512];
+  private byte[] line = new byte[MIN_LINE_CAPACITY];
   private int lineLength;
   private int blankLines;
   private int headBytes;
@@ -67,6 +70,10 @@
   void expect(HeadRules nextRules) {
     rules = nextRules;
     state = State.START_LINE;
+    fields = new FieldLines();
+    if (line.length > MIN_LINE_CAPACITY) {
+      line = new byte[MIN_LINE_CAPACITY];
+    }
     blankLines = 0;
     headBytes = 0;
     fieldCount = 0;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PeerLoad.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PeerLoad.java
@@ -38,8 +38,14 @@
     return covered;
   }
 
-  /** Returns the expected number of running requests if each lasts this long on average. */
+  /**
+   * Returns the expected number of running requests if each lasts this long on average. Work is
+   * reported again before its age reaches the limit, so an older report tells of none.
+   */
   double running(double durationMillis, long nowNanos) {
+    if (nowNanos - reportedNanos > PeerWorkReports.MAX_AGE.toNanos()) {
+      return 0;
+    }
     double age = AGE_ON_ARRIVAL_MILLIS + (nowNanos - reportedNanos) / NANOS_PER_MILLI;
     return mean + (reported - mean) * Math.exp(-age / durationMillis);
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PrefillRateEstimator.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PrefillRateEstimator.java
@@ -12,6 +12,9 @@
  * each has a fit of its own. Not thread-safe.
  */
 final class PrefillRateEstimator {
+  /** Larger sums than any entry can measure; the sum of many of them is still finite. */
+  private static final double MAX_SUM = 1e30;
+
   /** Prompt length at which attention takes as long as the rest of the prefill, in tokens. */
   private static final double ATTENTION_TOKENS = 60_000;
 
@@ -86,7 +89,8 @@
         && s.y() >= 0
         && s.xx() >= 0
         && s.xy() >= 0
-        && Double.isFinite(s.weight() + s.x() + s.y() + s.xx() + s.xy());
+        && Math.max(s.weight(), Math.max(s.x(), s.y())) <= MAX_SUM
+        && Math.max(s.xx(), s.xy()) <= MAX_SUM;
   }
 
   private Fit fitOf(String model) {
@@ -105,7 +109,7 @@
 
   private static Fit fit(PrefillSums s) {
     double variance = s.weight() * s.xx() - s.x() * s.x();
-    double slope = variance <= 0 ? 0 : (s.weight() * s.xy() - s.x() * s.y()) / variance;
+    double slope = !(variance > 0) ? 0 : (s.weight() * s.xy() - s.x() * s.y()) / variance;
     double perToken = Math.min(MAX_MILLIS_PER_TOKEN, Math.max(MIN_MILLIS_PER_TOKEN, slope));
     double fixed = (s.y() - perToken * s.x()) / s.weight();
     return new Fit(Math.min(MAX_FIXED_MILLIS, Math.max(0, fixed)), perToken);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerSpeeds.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/ServerSpeeds.java
@@ -19,6 +19,9 @@
   /** Largest logarithm of a sample, so that a stalled attempt weighs little. */
   private static final double MAX_LOG = 1.2;
 
+  /** No entry measures as many requests in the time that a report covers. */
+  private static final double MAX_COUNT = 1e6;
+
   /** Samples of a kind of work before its times are compared. */
   private static final int MIN_KIND_SAMPLES = 4;
 
@@ -79,7 +82,7 @@
   /** Returns whether a sum can be true. */
   static boolean isPlausible(SampleSum sum) {
     return sum.count() >= 0
-        && Double.isFinite(sum.count())
+        && sum.count() <= MAX_COUNT
         && Math.abs(sum.sum()) <= sum.count() * MAX_LOG * (1 + 1e-6);
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptPlanner.java
@@ -45,6 +45,13 @@
             now);
   }
 
+  /** Returns whether a request that found no eligible server may find one soon. */
+  boolean mayFindServer(Placement placement) {
+    return placement.chosen().isEmpty()
+        && !shared.connectivity().isCutOff(plan.service())
+        && !BackendSelector.inService(shared.currentView().get(), plan.service()).isEmpty();
+  }
+
   /** Returns when a caller should retry if no backend server can take its request now. */
   Duration retryDelay(boolean turnedAway, long now) {
     Duration unknown =
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -69,6 +69,8 @@
   /** Bytes of its answer that are held until it can be sent. */
   private long answerBytes;
 
+  private boolean answerBegun;
+
   private long arrivedNanos;
   private Exchange exchange;
   private boolean inFlight;
@@ -170,6 +172,7 @@
   }
 
   private void onHead(HttpRequest request) {
+    answerBegun = false;
     head = request;
     RequestTarget.toOriginForm(request);
     inFlight = shared.inFlight().tryBegin();
@@ -312,6 +315,8 @@
 
   @Override
   public void send(int status, HttpHeaders headers, ByteBuf content) {
+    answerBegun = true;
+    servedBytes = 0;
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), content);
@@ -323,6 +328,7 @@
 
   @Override
   public void startChunked(int status, HttpHeaders headers) {
+    answerBegun = true;
     HttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().set(headers);
@@ -374,6 +380,7 @@
       return;
     }
     answerPending = false;
+    caller = null;
     unread.onAnswered();
     startIdleTimer(limits().idleTimeout().toMillis());
     context.executor().execute(this::expectNext);
@@ -424,7 +431,7 @@
       return Standing.ANSWERED;
     }
     if (answerPending) {
-      return answerBytes + unread.bytes() > 0 ? Standing.ANSWERING : Standing.SERVING;
+      return answerBegun || answerBytes > 0 ? Standing.ANSWERING : Standing.SERVING;
     }
     if (head != null) {
       return Standing.RECEIVING;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -79,9 +79,12 @@
     return plan.traits(request);
   }
 
-  /** Starts or ends the exchange, unless it has to wait as all eligible servers are full. */
-  boolean tryStart(long now) {
-    return dispatch(now, true);
+  /**
+   * Starts or ends the exchange, unless it has to wait as all eligible servers are full. One that
+   * has waited goes on waiting while no server is eligible but the service has some.
+   */
+  boolean tryStart(long now, boolean hasWaited) {
+    return dispatch(now, true, hasWaited);
   }
 
   /** Refuses a request that was never sent to a backend server. */
@@ -90,11 +93,11 @@
   }
 
   private void dispatch() {
-    var unused = dispatch(shared.ticker().read(), false);
+    var unused = dispatch(shared.ticker().read(), false, false);
   }
 
   /** Sends the next attempt or ends the exchange; returns false if neither, as it may wait. */
-  private boolean dispatch(long now, boolean mayWait) {
+  private boolean dispatch(long now, boolean mayWait, boolean hasWaited) {
     if (!lifecycle.isActive()) {
       return true;
     }
@@ -109,7 +112,7 @@
     }
     boolean cutOff = shared.connectivity().isCutOff(plan.service());
     Placement placement = cutOff ? Placement.none() : planner.place(model, triedIncarnations, now);
-    if (mayWait && placement.mustWait()) {
+    if (mayWait && (placement.mustWait() || (hasWaited && planner.mayFindServer(placement)))) {
       return false;
     }
     Optional<BackendServer> chosen = placement.chosen();
@@ -466,6 +469,7 @@
       progress = null;
     }
     attempt = null;
+    sink.setHeldAnswerBytes(0);
     if (forwarder != null) {
       AnswerForwarder ended = forwarder;
       forwarder = null;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -280,6 +280,7 @@
     private void finish() {
       ended = true;
       attempt = null;
+      sink.setHeldAnswerBytes(0);
       shared.eventLoop().execute(body::release);
     }
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -465,6 +465,7 @@
    */
   public void endRequests(Duration limit) throws InterruptedException {
     shutdown.end();
+    eventLoop.execute(scheduler::stop);
     eventLoop.execute(callerServer::endRequests);
     var unused = inFlight.awaitNone(limit);
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ScheduledExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ScheduledExchange.java
@@ -18,6 +18,7 @@
   private final String id;
   private final RequestTraits traits;
   private final Runnable onDone;
+  private boolean hasWaited;
 
   ScheduledExchange(
       ExchangeDependencies shared, AdmittedRequest request, AnswerSink sink, Runnable onDone) {
@@ -50,7 +51,9 @@
 
   @Override
   public boolean tryStart(long nowNanos) {
-    return exchange.tryStart(nowNanos);
+    boolean started = exchange.tryStart(nowNanos, hasWaited);
+    hasWaited |= !started;
+    return started;
   }
 
   @Override
