--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PlainPlacer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PlainPlacer.java
@@ -49,15 +49,10 @@
     }
     double workMillis = loads.meanDurationMillis(choice.server);
     boolean room = choice.state.hasRoom(0);
-    double wait = room ? 0 : slotWaitMillis(choice.state, workMillis);
+    double wait = room ? 0 : workMillis / Math.max(1, choice.state.slots());
     return new Placement.Placed(choice.server, wait, wait + workMillis, room);
   }
 
-  private static double slotWaitMillis(ServerSnapshot state, double workMillis) {
-    int ahead = Math.max(0, state.running() - state.slots()) + 1;
-    return ahead * workMillis / Math.max(1, state.slots());
-  }
-
   private boolean localServersSuffice(PlacementQuery query) {
     int slots = 0;
     int running = 0;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -112,8 +112,7 @@
     }
     boolean cutOff = shared.connectivity().isCutOff(plan.service());
     Placement placement = cutOff ? Placement.none() : planner.place(model, triedIncarnations, now);
-    if (mayWait
-        && (WaitPolicy.waitsHere(placement) || (hasWaited && planner.mayFindServer(placement)))) {
+    if (mayWait && (placement.mustWait() || (hasWaited && planner.mayFindServer(placement)))) {
       return false;
     }
     Optional<BackendServer> chosen = placement.chosen();
