--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/AdmissionListener.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/AdmissionListener.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-/** Is told what a scheduler decides about requests. Traffic thread only. */
+/** Receives what a scheduler decides about requests. Traffic thread only. */
 public interface AdmissionListener {
   /** Called for each new request. */
   void onOffered(RequestTraits traits);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/DemandExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/DemandExchange.java
@@ -77,7 +77,7 @@
     received.onSummary(summary, nowNanos);
   }
 
-  /** Sends the messages that are due, and tells the scheduler the demand of all others. */
+  /** Sends the messages that are due, and reports all other demand to the scheduler. */
   public void tick(long nowNanos) {
     received.expire(nowNanos);
     Members known = members.get();
@@ -132,7 +132,7 @@
     return new DemandReport("", own);
   }
 
-  /** Sends a message if it tells of any demand. */
+  /** Sends a message if it reports any demand. */
   private void sendIfDue(
       String receiver,
       Duration interval,
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/RefusalReason.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/admission/RefusalReason.java
@@ -21,7 +21,7 @@
     this.message = message;
   }
 
-  /** Returns the reason as callers are told. */
+  /** Returns the reason that callers read. */
   String message() {
     return message;
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/FollowerListener.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/FollowerListener.java
@@ -1,6 +1,6 @@
 package org.guavagw.gateway.internal.control;
 
-/** Is told what the followers of a hub need. Called on the control thread. */
+/** Is notified of what the followers of a hub need. Called on the control thread. */
 interface FollowerListener {
   /** The first follower needs newer orders than an entry that nobody follows. */
   void onFirstFollower();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/StoreCallListener.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/StoreCallListener.java
@@ -1,6 +1,6 @@
 package org.guavagw.gateway.internal.control;
 
-/** Is told of each call to the store. Called on the control thread. */
+/** Is notified of each call to the store. Called on the control thread. */
 @FunctionalInterface
 public interface StoreCallListener {
   /** Takes note of a call whose result is known. */
