Log and count requests whose connection closes before their answer is complete

`caller_gone` was logged for each connection that closed under a request, so that the logs couldn't tell a caller that left from a connection that the entry itself closed (idle, given up for its memory, an error, the stop). Change: each close of a caller's connection has a reason. `request_unanswered` and a counter for each reason name it, with how far the request was. No decision changes.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/memory/Standing.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/memory/Standing.java
@@ -1,5 +1,7 @@
 package org.guavagw.gateway.internal.memory;
 
+import java.util.Locale;
+
 /** What a connection of a caller waits for, in the order in which connections are given up. */
 public enum Standing {
   /** No request, or the beginning of a head: nothing is known of its sender. */
@@ -15,5 +17,10 @@
   ANSWERING,
 
   /** An answer that has not begun, to a request that is being served, which is never given up. */
-  SERVING
+  SERVING;
+
+  /** Returns the name used in logs. */
+  public String wireName() {
+    return name().toLowerCase(Locale.ROOT);
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -22,7 +22,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.io.IOException;
 import java.util.Optional;
@@ -75,11 +74,15 @@
   private Exchange exchange;
   private boolean inFlight;
 
+  /** Requests whose head was read and whose answer the socket has not taken completely. */
+  private int unanswered;
+
   private boolean answerPending;
   private boolean keepAlive = true;
   private boolean closing;
+  private CloseReason closeReason = CloseReason.CALLER;
   private boolean lingering;
-  private ScheduledFuture<?> idleTimer;
+  private IdleTimer idleTimer;
 
   /**
    * Creates a connection.
@@ -95,30 +98,35 @@
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
     unread = new UnreadAnswers(ctx.channel());
+    idleTimer = new IdleTimer(ctx.executor(), this::onIdle);
   }
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     share = shared.memory().open(this);
     if (share.isEmpty()) {
-      closing = true;
-      ctx.close();
+      close(CloseReason.EVICTED);
       return;
     }
     shared.connections().add(this);
-    startIdleTimer(limits().idleTimeout().toMillis());
+    idleTimer.start(limits().idleTimeout().toMillis());
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     shared.connections().remove(this);
+    CloseReason reason = ctx.executor().isShuttingDown() ? CloseReason.STOPPING : closeReason;
+    if (unanswered > 0) {
+      long now = shared.exchangeDependencies().ticker().read();
+      shared.unanswered().write(reason, callerId(), progress(), now - arrivedNanos);
+    }
     closing = true;
-    stopIdleTimer();
+    idleTimer.stop();
     body.release();
     share.ifPresent(MemoryShare::close);
     share = Optional.empty();
     if (exchange != null) {
-      exchange.onCallerDisconnected();
+      exchange.onConnectionClosed(reason);
     }
     if (inFlight) {
       inFlight = false;
@@ -173,6 +181,7 @@
 
   private void onHead(HttpRequest request) {
     answerBegun = false;
+    unanswered++;
     head = request;
     RequestTarget.toOriginForm(request);
     inFlight = shared.inFlight().tryBegin();
@@ -181,7 +190,7 @@
     keepAlive = HttpUtil.isKeepAlive(request);
     body.start(arrivedNanos);
     share.ifPresent(MemoryShare::touch);
-    startIdleTimer(limits().headerTimeout().toMillis());
+    idleTimer.start(limits().headerTimeout().toMillis());
     Either<String, CallerRequest> decoded = shared.exchangeDependencies().format().decode(request);
     malformed = decoded.isLeft();
     caller = decoded.getOrNull();
@@ -198,7 +207,7 @@
       return;
     }
     if (content.content().isReadable()) {
-      startIdleTimer(limits().idleTimeout().toMillis());
+      idleTimer.start(limits().idleTimeout().toMillis());
     }
     long now = shared.exchangeDependencies().ticker().read();
     Optional<Refusal> refusal =
@@ -232,13 +241,13 @@
     lingering = true;
     answerPending = true;
     body.release();
-    stopIdleTimer();
+    idleTimer.stop();
     RefusalWriter.write(this, refusal);
     reportHeldBytes();
   }
 
   private void onRequestComplete() {
-    stopIdleTimer();
+    idleTimer.stop();
     answerPending = true;
     HttpRequest completeHead = head;
     head = null;
@@ -278,7 +287,7 @@
             arrivedNanos,
             admitted.view().configVersion());
     var scheduled =
-        new ScheduledExchange(shared.exchangeDependencies(), request, this, this::onExchangeDone);
+        new ScheduledExchange(shared.exchangeDependencies(), request, this, () -> exchange = null);
     exchange = scheduled.exchange();
     scheduled.submit();
   }
@@ -303,10 +312,6 @@
     return caller == null ? "" : caller.id();
   }
 
-  private void onExchangeDone() {
-    exchange = null;
-  }
-
   @Override
   public void setHeldAnswerBytes(long bytes) {
     answerBytes = bytes;
@@ -357,7 +362,12 @@
 
   @Override
   public void abort() {
+    close(CloseReason.BROKEN_OFF);
+  }
+
+  private void close(CloseReason reason) {
     closing = true;
+    closeReason = reason;
     context.close();
   }
 
@@ -371,23 +381,27 @@
     written.addListener(
         f -> {
           reportHeldBytes();
+          if (f.isSuccess()) {
+            unanswered--;
+          }
           if (endsInFlight) {
             shared.inFlight().end();
           }
         });
     if (!keepAlive) {
-      closeOnceWritten();
+      closeOnceWritten(CloseReason.ANSWERED);
       return;
     }
     answerPending = false;
     caller = null;
     unread.onAnswered();
-    startIdleTimer(limits().idleTimeout().toMillis());
+    idleTimer.start(limits().idleTimeout().toMillis());
     context.executor().execute(this::expectNext);
   }
 
-  private void closeOnceWritten() {
+  private void closeOnceWritten(CloseReason reason) {
     closing = true;
+    closeReason = reason;
     ChannelFuture written = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
     if (lingering) {
       context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
@@ -421,15 +435,17 @@
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (!(cause instanceof IOException)) {
       shared.log().event("connection_failed").with("reason", String.valueOf(cause)).write();
+      closeReason = CloseReason.ERROR;
     }
     ctx.close();
   }
 
   @Override
   public Standing standing() {
-    if (closing) {
-      return Standing.ANSWERED;
-    }
+    return closing ? Standing.ANSWERED : progress();
+  }
+
+  private Standing progress() {
     if (answerPending) {
       return answerBegun || answerBytes > 0 ? Standing.ANSWERING : Standing.SERVING;
     }
@@ -444,7 +460,7 @@
     if (standing() == Standing.RECEIVING) {
       refuseIncomplete(ExchangeRefusals.noMemoryFor(reason));
     } else {
-      abort();
+      close(CloseReason.EVICTED);
       answerBytes = 0;
       reportHeldBytes();
     }
@@ -453,7 +469,7 @@
   /** Closes the connection unless a request is being received or served. */
   void closeIfIdle() {
     if (!answerPending && head == null) {
-      closeOnceWritten();
+      closeOnceWritten(CloseReason.STOPPING);
     }
   }
 
@@ -470,26 +486,14 @@
     return shared.limits().get();
   }
 
-  private void startIdleTimer(long millis) {
-    stopIdleTimer();
-    idleTimer = context.executor().schedule(this::onIdle, millis, TimeUnit.MILLISECONDS);
-  }
-
-  private void stopIdleTimer() {
-    if (idleTimer != null) {
-      idleTimer.cancel(false);
-      idleTimer = null;
-    }
-  }
-
   private void onIdle() {
     if (answerPending) {
       return;
     }
     if (unread.areBeingTaken(shared.exchangeDependencies().ticker().read())) {
-      startIdleTimer(limits().idleTimeout().toMillis());
+      idleTimer.start(limits().idleTimeout().toMillis());
       return;
     }
-    abort();
+    close(CloseReason.IDLE);
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnectionDependencies.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnectionDependencies.java
@@ -13,6 +13,7 @@
  * @param fromEntries whether the connections are those of entries that forward requests
  * @param connections open connections; traffic thread only
  * @param memory what all connections hold
+ * @param unanswered records requests whose connection closes before their answer is complete
  */
 record CallerConnectionDependencies(
     ExchangeDependencies exchangeDependencies,
@@ -23,6 +24,7 @@
     GracefulShutdown shutdown,
     InFlightRequests inFlight,
     MemoryAccount memory,
+    UnansweredRequestLog unanswered,
     EventLog log) {
   /** Returns the same dependencies for connections of entries that forward requests. */
   CallerConnectionDependencies forEntries() {
@@ -35,6 +37,7 @@
         shutdown,
         inFlight,
         memory,
+        unanswered,
         log);
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EvictionReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EvictionReporter.java
@@ -28,7 +28,7 @@
     counters.get(reason).inc();
     log.event("connection_evicted")
         .with("reason", reason.name().toLowerCase(Locale.ROOT))
-        .with("standing", standing.name().toLowerCase(Locale.ROOT))
+        .with("standing", standing.wireName())
         .with("bytes", bytes)
         .with("total_bytes", totalBytes)
         .write();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -451,16 +451,16 @@
     }
   }
 
-  /** Ends the exchange because the caller has disconnected. */
-  void onCallerDisconnected() {
+  /** Ends the exchange because the connection of the caller has been closed. */
+  void onConnectionClosed(CloseReason reason) {
     if (forwarded != null) {
-      forwarded.onCallerDisconnected();
+      forwarded.onConnectionClosed(reason);
       return;
     }
     if (attempt != null) {
       attempt.cancel();
     }
-    end("caller_gone", 0, () -> {});
+    end(reason.outcome(), 0, () -> {});
   }
 
   private void endAttempt() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -146,10 +146,10 @@
     }
   }
 
-  /** Ends the exchange because the caller has disconnected. */
-  void onCallerDisconnected() {
+  /** Ends the exchange because the connection of the caller has been closed. */
+  void onConnectionClosed(CloseReason reason) {
     cancelAttempt();
-    end("caller_gone", 0, () -> {});
+    end(reason.outcome(), 0, () -> {});
   }
 
   private void onTimeout() {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -389,6 +389,7 @@
         shutdown,
         inFlight,
         memory,
+        new UnansweredRequestLog(dependencies.log(), dependencies.metrics()),
         dependencies.log());
   }
 
