Answer the requests that were read before the connections of a stop close

Callers of an entry that stopped while its traffic thread lagged lost requests: the entry had read them whole, and their connections ended without an answer, later than 200 ms after they were sent.

Cause: the traffic thread ended, and closed all connections, as soon as the last counted request had been answered. Requests read after that are refused, but while the thread lags the refusal waits for the next reads in PendingReadBarrier, and what waits in an event loop that ends is dropped. Idle connections were closed at the end of the notice period without regard to how long ago their sockets had been read.

Change: ConnectionCloser ends the connections on the traffic thread. It accepts no more of them, answers what is being received or served, and closes each one after reads that were on time, once it has no request. The entry goes on when none is left, or its time is over.

Evidence: LaggingStopTest failed before with could not find the following element(s): ["lagging-9", "lagging-18"] and passes now, as do PlannedStopTest, StoppingEntryTest, PartitionedEntryTest, LaggingStartTest and SlowReaderTest (24 tests). Remains: 40 callers without a pause, whose requests take 1.2 s to read, lost 3 read requests at the end of the shutdown limit.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -223,17 +223,19 @@
     relay.drain(settings.shutdownLimit().minus(CLOSE_RESERVE));
     Thread.sleep(BALANCER_LAG.toMillis());
     relay.closeIdleConnections();
-    Duration spent = Duration.ofNanos(System.nanoTime() - begin);
-    boolean all = relay.finishRequests(settings.shutdownLimit().minus(spent).minus(CLOSE_RESERVE));
-    if (!all) {
-      relay.endRequests(CLOSE_RESERVE.dividedBy(2));
-    }
+    boolean all = relay.finishRequests(remaining(begin).minus(CLOSE_RESERVE));
+    relay.endRequests(remaining(begin).minus(CLOSE_RESERVE.dividedBy(2)));
     log.event("stopped")
         .with("requests", all ? "all answered" : "some ended at the time limit")
         .write();
     close();
   }
 
+  /** Returns the rest of the shutdown limit. */
+  private Duration remaining(long beginNanos) {
+    return settings.shutdownLimit().minusNanos(System.nanoTime() - beginNanos);
+  }
+
   @Override
   public void close() {
     closer.close();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -452,7 +452,7 @@
 
   /** Closes the connection unless a request is being received or served. */
   void closeIfIdle() {
-    if (!answerPending && head == null) {
+    if (!closing && !answerPending && head == null) {
       closeOnceWritten();
     }
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerServer.java
@@ -6,7 +6,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
-import java.util.List;
 import org.guavagw.gateway.CallerSocket;
 import org.guavagw.gateway.internal.framing.RequestCheck;
 
@@ -69,18 +68,9 @@
     return (InetSocketAddress) channel.localAddress();
   }
 
-  /** Closes connections without a request in progress. Traffic thread only. */
-  void closeIdleConnections() {
-    if (shared != null) {
-      List.copyOf(shared.connections()).forEach(CallerConnection::closeIfIdle);
-    }
-  }
-
-  /** Answers all requests that are being received or served. Traffic thread only. */
-  void endRequests() {
-    if (shared != null) {
-      List.copyOf(shared.connections()).forEach(CallerConnection::endRequest);
-    }
+  /** Accepts no further connections; those that are open go on. */
+  void stopAccepting() {
+    channel.close();
   }
 
   @Override
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
@@ -65,10 +65,12 @@
     reach.expire(ticker.read());
   }
 
-  /** Starts to accept requests that other entries forward. */
-  void accept(InetSocketAddress peerAddress, CallerConnectionDependencies dependencies) {
+  /** Starts to accept requests that other entries forward; the server closes with this. */
+  CallerServer accept(InetSocketAddress peerAddress, CallerConnectionDependencies dependencies) {
     CallerSocket socket = listen(Forwarding.address(peerAddress));
-    closer.register(new CallerServer(transport, socket)).open(dependencies.forEntries());
+    CallerServer server = closer.register(new CallerServer(transport, socket));
+    server.open(dependencies.forEntries());
+    return server;
   }
 
   private static CallerSocket listen(InetSocketAddress address) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -99,6 +99,7 @@
   private final EntryForwarding forwarding;
   private final ReachabilityChecker reachability;
   private final CallerServer callerServer;
+  private final ConnectionCloser connectionCloser;
   private final EventLoop eventLoop;
   private final PeriodicChecks checks = new PeriodicChecks();
   private final InFlightRequests inFlight = new InFlightRequests();
@@ -184,8 +185,7 @@
             members);
     this.callerServer = callerServer;
     var connectionDependencies = newConnectionDependencies(exchangeDependencies, readBarrier);
-    openWhenReady(connectionDependencies);
-    forwarding.accept(settings.peerAddress(), connectionDependencies);
+    this.connectionCloser = accept(settings.peerAddress(), connectionDependencies);
     runPeriodicTasks(lag);
     exchangeReports(peers, hubSelector, versions, log, metrics);
     serveGauges(metrics, lag, connectionDependencies.connections());
@@ -221,6 +221,19 @@
     eventLoop.scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
   }
 
+  /** Starts to accept connections of callers and other entries; returns what ends them. */
+  private ConnectionCloser accept(
+      InetSocketAddress peerAddress, CallerConnectionDependencies dependencies) {
+    openWhenReady(dependencies);
+    CallerServer entryServer = forwarding.accept(peerAddress, dependencies);
+    Runnable stopAccepting =
+        () -> {
+          callerServer.stopAccepting();
+          entryServer.stopAccepting();
+        };
+    return new ConnectionCloser(dependencies.connections(), stopAccepting, eventLoop, ticker);
+  }
+
   private void openWhenReady(CallerConnectionDependencies dependencies) {
     Runnable open = () -> callerServer.open(dependencies);
     currentView.whenReady().thenRunAsync(open, eventLoop);
@@ -448,7 +461,7 @@
 
   /** Closes connections of callers without a request in progress. */
   public void closeIdleConnections() {
-    eventLoop.execute(callerServer::closeIdleConnections);
+    connectionCloser.closeIdle();
   }
 
   /**
@@ -460,14 +473,14 @@
   }
 
   /**
-   * Answers the requests that are left, as not run where that is proven, and waits until their
-   * callers have been sent the answers, or the limit is over.
+   * Answers the requests that are left, as not run where that is proven, and closes the connections
+   * of callers once they have been sent the answers; returns when none is left, or the limit is
+   * over.
    */
   public void endRequests(Duration limit) throws InterruptedException {
     shutdown.end();
     eventLoop.execute(scheduler::stop);
-    eventLoop.execute(callerServer::endRequests);
-    var unused = inFlight.awaitNone(limit);
+    var unused = connectionCloser.closeAll().await(limit.toMillis(), TimeUnit.MILLISECONDS);
   }
 
   @Override
