Answer requests whose answers are dropped for memory

Callers saw: while a faulty backend server sent bodies without end to many requests at once, the connections of these callers were closed without an answer.

Cause: what backend servers have sent is in the account of memory, but to give up an answer meant to close the connection of its caller, also when the caller had nothing of it.

Change: who holds an answer also says how to drop it (HeldAnswer). Dropping it fails the attempt with NO_MEMORY and closes the connection to the backend server; the request then goes to another server or gets an error, as after any other lost answer. The backend server is not blamed, as the account may be full for other reasons.

Evidence: EndlessAnswersTest, an entry with 32 MB of heap and 60 requests at once to a server that sends without end. Now all are answered, with 502, or with 503 if they were not sent. The other kinds that are buffered held before, too. Requests in progress at a sound server held before and hold now.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/memory/MemoryHolder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/memory/MemoryHolder.java
@@ -6,8 +6,9 @@
   Standing standing();
 
   /**
-   * Gives up what the connection holds: an incomplete request is refused as not run, and the
-   * connection is closed. Never called while the standing is {@link Standing#SERVING}.
+   * Gives up what the connection holds: an incomplete request is refused as not run, an answer for
+   * lack of memory is dropped while its caller has nothing of it, and any other connection is
+   * closed. Never called while the standing is {@link Standing#SERVING}.
    */
   void evict(EvictionReason reason);
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AnswerSink.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AnswerSink.java
@@ -9,8 +9,8 @@
  * <p>Invariant: a chunked answer ends with {@code finish} only if it is complete.
  */
 interface AnswerSink {
-  /** Records how many bytes of the answer are held until it can be sent. */
-  void setHeldAnswerBytes(long bytes);
+  /** Records what is held of the answer, which may lead to its being dropped at once. */
+  void setHeldAnswer(HeldAnswer held);
 
   /** Sends a buffered answer and takes ownership of its body. */
   void send(int status, HttpHeaders headers, ByteBuf body);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptFailure.java
@@ -19,6 +19,8 @@
   BROKEN(true),
   /** The answer is malformed, too large or not from the backend server. */
   UNUSABLE(true),
+  /** This entry had no memory for the rest of the answer. */
+  NO_MEMORY(true),
   /** The backend server answered with a server error. */
   SERVER_ERROR(true),
   /** Nothing was received for too long. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BufferedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BufferedAnswerForwarder.java
@@ -41,7 +41,11 @@
       return;
     }
     body.writeBytes(content, content.readerIndex(), content.readableBytes());
-    sink.setHeldAnswerBytes(body.capacity());
+    sink.setHeldAnswer(new HeldAnswer(body.capacity(), this::drop));
+  }
+
+  private void drop() {
+    exchange.cancelAttempt(AttemptFailure.NO_MEMORY);
   }
 
   @Override
@@ -49,10 +53,10 @@
     AnswerClassification classification = AnswerClassification.of(answer);
     if (classification != AnswerClassification.USABLE
         && classification != AnswerClassification.SERVER_ERROR) {
-      sink.setHeldAnswerBytes(0);
+      sink.setHeldAnswer(HeldAnswer.NONE);
       exchange.onAttemptFailed(classification.failure());
     } else if (classification == AnswerClassification.SERVER_ERROR && exchange.tryAcquireRetry()) {
-      sink.setHeldAnswerBytes(0);
+      sink.setHeldAnswer(HeldAnswer.NONE);
       exchange.retryAfterServerError();
     } else {
       exchange.forwardBuffered(answer, headers, body.retain());
@@ -61,7 +65,7 @@
 
   @Override
   public void onFailed(AttemptFailure failure) {
-    sink.setHeldAnswerBytes(0);
+    sink.setHeldAnswer(HeldAnswer.NONE);
     exchange.onAttemptFailed(failure);
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -66,8 +66,7 @@
   /** Bytes of the body of the request that is being served. */
   private long servedBytes;
 
-  /** Bytes of its answer that are held until it can be sent. */
-  private long answerBytes;
+  private HeldAnswer heldAnswer = HeldAnswer.NONE;
 
   private boolean answerBegun;
 
@@ -160,7 +159,7 @@
                 requests.heldBytes()
                     + body.heldBytes()
                     + servedBytes
-                    + answerBytes
+                    + heldAnswer.bytes()
                     + unread.bytes()));
   }
 
@@ -308,8 +307,8 @@
   }
 
   @Override
-  public void setHeldAnswerBytes(long bytes) {
-    answerBytes = bytes;
+  public void setHeldAnswer(HeldAnswer held) {
+    heldAnswer = held;
     reportHeldBytes();
   }
 
@@ -366,7 +365,7 @@
     boolean endsInFlight = inFlight;
     inFlight = false;
     servedBytes = 0;
-    answerBytes = 0;
+    heldAnswer = HeldAnswer.NONE;
     reportHeldBytes();
     written.addListener(
         f -> {
@@ -431,7 +430,7 @@
       return Standing.ANSWERED;
     }
     if (answerPending) {
-      return answerBegun || answerBytes > 0 ? Standing.ANSWERING : Standing.SERVING;
+      return answerBegun || heldAnswer.bytes() > 0 ? Standing.ANSWERING : Standing.SERVING;
     }
     if (head != null) {
       return Standing.RECEIVING;
@@ -443,9 +442,13 @@
   public void evict(EvictionReason reason) {
     if (standing() == Standing.RECEIVING) {
       refuseIncomplete(ExchangeRefusals.noMemoryFor(reason));
+    } else if (reason == EvictionReason.MEMORY
+        && standing() == Standing.ANSWERING
+        && !answerBegun) {
+      heldAnswer.drop().run();
     } else {
       abort();
-      answerBytes = 0;
+      heldAnswer = HeldAnswer.NONE;
       reportHeldBytes();
     }
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -469,7 +469,7 @@
       progress = null;
     }
     attempt = null;
-    sink.setHeldAnswerBytes(0);
+    sink.setHeldAnswer(HeldAnswer.NONE);
     if (forwarder != null) {
       AnswerForwarder ended = forwarder;
       forwarder = null;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -242,10 +242,16 @@
         onFailed(AttemptFailure.UNUSABLE);
       } else {
         body.writeBytes(content, content.readerIndex(), content.readableBytes());
-        sink.setHeldAnswerBytes(body.capacity());
+        sink.setHeldAnswer(new HeldAnswer(body.capacity(), this::drop));
       }
     }
 
+    private void drop() {
+      abandonAttempt();
+      finish();
+      refuse(ExchangeRefusals.failed(AttemptFailure.NO_MEMORY));
+    }
+
     @Override
     public void onComplete() {
       finish();
@@ -280,7 +286,7 @@
     private void finish() {
       ended = true;
       attempt = null;
-      sink.setHeldAnswerBytes(0);
+      sink.setHeldAnswer(HeldAnswer.NONE);
       shared.eventLoop().execute(body::release);
     }
   }
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/HeldAnswer.java
@@ -0,0 +1,11 @@
+package org.guavagw.gateway.internal.relay;
+
+/**
+ * What this entry holds of an answer until it can be sent. Immutable.
+ *
+ * @param bytes memory that is held
+ * @param drop gives up the answer and frees the memory at once, while the caller has none of it
+ */
+record HeldAnswer(long bytes, Runnable drop) {
+  static final HeldAnswer NONE = new HeldAnswer(0, () -> {});
+}
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/OutcomeReporter.java
@@ -93,7 +93,7 @@
       case UNREACHABLE, SILENT -> shared.loads().onUnreachable(server, now);
       case LATE -> reportTiming(attempt, model, millisSince(attempt, now));
       case NOT_EXECUTED -> shared.loads().onOutcome(server, false, now);
-      case STALE_CONNECTION, NO_CONNECTION, WITHDRAWN, QUARANTINED -> {
+      case STALE_CONNECTION, NO_CONNECTION, WITHDRAWN, NO_MEMORY, QUARANTINED -> {
         // not a failure of the backend server
       }
       default -> reportFailure(server);
