Count incomplete events in the account of memory

Callers saw: while a faulty backend server sent streams without the end of an event to many requests at once, the entry ran out of heap memory, which ends any request for which it allocates next.

Cause: a stream holds up to 1 MB of an incomplete event, in a buffer of up to 2 MB that it kept for as long as it lasted. None of it was in the account of memory, so nothing bounded the sum.

Change: EventSplitter says what it holds and frees the memory of a large event once it was returned. The forwarder of streams puts it into the account, as that of whole answers does.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EventSplitter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EventSplitter.java
@@ -77,11 +77,24 @@
     int taken = buffered.readerIndex();
     if (taken > 0) {
       buffered.discardReadBytes();
+      trim();
       lineStart -= taken;
       searched -= taken;
     }
   }
 
+  /** Frees what a large event has taken, once it was returned. */
+  private void trim() {
+    if (buffered.capacity() > INITIAL_BYTES && buffered.readableBytes() <= INITIAL_BYTES) {
+      buffered.capacity(INITIAL_BYTES);
+    }
+  }
+
+  /** Returns the memory that is taken for bytes that were not returned. */
+  long heldBytes() {
+    return buffered.isReadable() ? buffered.capacity() : 0;
+  }
+
   /** Returns whether a partial event is buffered; lines without a field alone are none. */
   boolean hasPartialEvent() {
     boolean inLine = lineStart < buffered.writerIndex();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
@@ -49,11 +49,20 @@
     for (EventSplitter.Event event : events) {
       forward(event);
     }
-    if (exchange.isCurrent(this) && splitter.overflowed()) {
+    if (!exchange.isCurrent(this)) {
+      return;
+    }
+    if (splitter.overflowed()) {
       exchange.cancelAttempt(AttemptFailure.UNUSABLE);
+    } else {
+      sink.setHeldAnswer(new HeldAnswer(splitter.heldBytes(), this::drop));
     }
   }
 
+  private void drop() {
+    exchange.cancelAttempt(AttemptFailure.NO_MEMORY);
+  }
+
   private void forward(EventSplitter.Event event) {
     // An earlier event in the same buffer may have ended this attempt.
     if (!exchange.isCurrent(this)) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EventSplitterTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EventSplitterTest.java
@@ -55,6 +55,17 @@
     assertThat(splitter.overflowed()).isTrue();
   }
 
+  @Test
+  void shouldHoldNoMemoryOfAnEventThatItHasReturned() {
+    EventSplitter splitter = new EventSplitter();
+    assertThat(add(splitter, "data: " + "x".repeat(1 << 19))).isEmpty();
+    assertThat(splitter.heldBytes()).isGreaterThanOrEqualTo(1 << 19);
+    assertThat(add(splitter, "\n\nd")).hasSize(1);
+    assertThat(splitter.heldBytes()).isLessThanOrEqualTo(1 << 10);
+    assertThat(add(splitter, ":\n\n")).hasSize(1);
+    assertThat(splitter.heldBytes()).isZero();
+  }
+
   @Test
   @Timeout(5)
   void shouldTakeAsLongForTheLastByteOfALargeEventAsForTheFirst() {
