--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -65,8 +64,7 @@
   /** Bytes of the body of the request that is being served. */
   private long servedBytes;
 
-  /** Bytes of its answer that are held until it can be sent. */
-  private long answerBytes;
+  private HeldAnswer heldAnswer = HeldAnswer.NONE;
 
   private boolean answerBegun;
 
@@ -168,7 +166,7 @@
                 requests.heldBytes()
                     + body.heldBytes()
                     + servedBytes
-                    + answerBytes
+                    + heldAnswer.bytes()
                     + unread.bytes()));
   }
 
@@ -313,8 +311,8 @@
   }
 
   @Override
-  public void setHeldAnswerBytes(long bytes) {
-    answerBytes = bytes;
+  public void setHeldAnswer(HeldAnswer held) {
+    heldAnswer = held;
     reportHeldBytes();
   }
 
@@ -376,7 +374,7 @@
     boolean endsInFlight = inFlight;
     inFlight = false;
     servedBytes = 0;
-    answerBytes = 0;
+    heldAnswer = HeldAnswer.NONE;
     reportHeldBytes();
     written.addListener(
         f -> {
@@ -401,12 +399,11 @@
 
   private void closeOnceWritten(CloseReason reason) {
     closing = true;
-    closeReason = reason;
     ChannelFuture written = context.writeAndFlush(Unpooled.EMPTY_BUFFER);
     if (lingering) {
-      context.executor().schedule(() -> context.close(), LINGER_MILLIS, TimeUnit.MILLISECONDS);
+      context.executor().schedule(() -> close(reason), LINGER_MILLIS, TimeUnit.MILLISECONDS);
     } else {
-      written.addListener(ChannelFutureListener.CLOSE);
+      written.addListener(f -> close(f.isSuccess() ? reason : closeReason));
     }
   }
 
@@ -447,7 +444,7 @@
 
   private Standing progress() {
     if (answerPending) {
-      return answerBegun || answerBytes > 0 ? Standing.ANSWERING : Standing.SERVING;
+      return answerBegun || heldAnswer.bytes() > 0 ? Standing.ANSWERING : Standing.SERVING;
     }
     if (head != null) {
       return Standing.RECEIVING;
@@ -459,9 +456,13 @@
   public void evict(EvictionReason reason) {
     if (standing() == Standing.RECEIVING) {
       refuseIncomplete(ExchangeRefusals.noMemoryFor(reason));
+    } else if (reason == EvictionReason.MEMORY
+        && standing() == Standing.ANSWERING
+        && !answerBegun) {
+      heldAnswer.drop().run();
     } else {
       close(CloseReason.EVICTED);
-      answerBytes = 0;
+      heldAnswer = HeldAnswer.NONE;
       reportHeldBytes();
     }
   }
