Read the socket of an idle connection before it is closed

Callers of an entry whose traffic thread lagged found their kept connection closed, though they had sent a request on it before the idle timeout.

Cause: the timers of a round of the event loop run after reads whose sockets were selected at its beginning. What arrived since is unread when the idle timer closes the connection, and at a lag that may be long.

Change: PendingReadBarrier runs a task once all has been read that came more than 100 ms before; the idle timer closes its connection after that, and ConnectionCloser uses the same. A request that was read meanwhile has stopped the timer.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -472,7 +472,8 @@
 
   private void startIdleTimer(long millis) {
     stopIdleTimer();
-    idleTimer = context.executor().schedule(this::onIdle, millis, TimeUnit.MILLISECONDS);
+    Runnable onExpired = () -> shared.readBarrier().runWhenRead(this::onIdle);
+    idleTimer = context.executor().schedule(onExpired, millis, TimeUnit.MILLISECONDS);
   }
 
   private void stopIdleTimer() {
@@ -483,7 +484,8 @@
   }
 
   private void onIdle() {
-    if (answerPending) {
+    // What was read since the timer expired has stopped it or started another one.
+    if (answerPending || idleTimer == null || !idleTimer.isDone()) {
       return;
     }
     if (unread.areBeingTaken(shared.exchangeDependencies().ticker().read())) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ConnectionCloser.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ConnectionCloser.java
@@ -1,32 +1,21 @@
 package org.guavagw.gateway.internal.relay;
 
-import com.google.common.base.Ticker;
 import io.netty.channel.EventLoop;
-import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 
 /**
  * Closes the connections of callers when this entry stops.
  *
- * <p>Invariant: a connection is closed only while it has no request, and once all has been read
- * that its socket received more than {@link #MAX_UNREAD_TIME} before. Thread-safe; the connections
- * are used on the traffic thread only.
+ * <p>Invariant: a connection is closed only while it has no request, and once the event loop has
+ * read what its socket holds. Thread-safe; the connections are used on the traffic thread only.
  */
-@SuppressWarnings("FutureReturnValueIgnored")
 final class ConnectionCloser {
-  /** Time that the event loop gets to read its sockets. */
-  private static final Duration READ_TIME = Duration.ofMillis(10);
-
-  /** A request that comes later than this before its connection is closed may stay unread. */
-  private static final Duration MAX_UNREAD_TIME = Duration.ofMillis(100);
-
   private final Set<CallerConnection> connections;
   private final Runnable stopAccepting;
   private final EventLoop eventLoop;
-  private final Ticker ticker;
+  private final PendingReadBarrier readBarrier;
 
   /**
    * Creates a closer.
@@ -38,27 +27,19 @@
       Set<CallerConnection> connections,
       Runnable stopAccepting,
       EventLoop eventLoop,
-      Ticker ticker) {
+      PendingReadBarrier readBarrier) {
     this.connections = connections;
     this.stopAccepting = stopAccepting;
     this.eventLoop = eventLoop;
-    this.ticker = ticker;
+    this.readBarrier = readBarrier;
   }
 
   /** Closes the connections that have no request; new ones are still accepted. */
   void closeIdle() {
-    eventLoop.execute(this::closeIdleOnTime);
-  }
-
-  private void closeIdleOnTime() {
-    List<CallerConnection> known = List.copyOf(connections);
-    afterReads(
-        onTime -> {
-          if (onTime) {
-            known.forEach(CallerConnection::closeIfIdle);
-          } else {
-            closeIdleOnTime();
-          }
+    eventLoop.execute(
+        () -> {
+          List<CallerConnection> known = List.copyOf(connections);
+          readBarrier.runWhenRead(() -> known.forEach(CallerConnection::closeIfIdle));
         });
   }
 
@@ -73,7 +54,7 @@
     eventLoop.execute(
         () -> {
           endRequests();
-          afterReads(
+          readBarrier.runAfterReads(
               onTime -> {
                 stopAccepting.run();
                 closeNext(closed);
@@ -89,7 +70,7 @@
       return;
     }
     List<CallerConnection> known = List.copyOf(connections);
-    afterReads(
+    readBarrier.runAfterReads(
         onTime -> {
           if (onTime) {
             known.forEach(CallerConnection::closeIfIdle);
@@ -101,21 +82,4 @@
   private void endRequests() {
     List.copyOf(connections).forEach(CallerConnection::endRequest);
   }
-
-  /** Runs a task after the next reads, which is told whether nothing can have waited for long. */
-  private void afterReads(ReadTask task) {
-    long begunNanos = ticker.read();
-    // What is scheduled here runs in a later round of the loop, and each round reads first.
-    eventLoop.schedule(
-        () -> task.run(ticker.read() - begunNanos <= MAX_UNREAD_TIME.toNanos()),
-        READ_TIME.toMillis(),
-        TimeUnit.MILLISECONDS);
-  }
-
-  /** Something that is done after reads. */
-  @FunctionalInterface
-  private interface ReadTask {
-    /** Runs after reads that were on time or not. */
-    void run(boolean onTime);
-  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -231,7 +231,8 @@
           callerServer.stopAccepting();
           entryServer.stopAccepting();
         };
-    return new ConnectionCloser(dependencies.connections(), stopAccepting, eventLoop, ticker);
+    return new ConnectionCloser(
+        dependencies.connections(), stopAccepting, eventLoop, dependencies.readBarrier());
   }
 
   private void openWhenReady(CallerConnectionDependencies dependencies) {
