--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -96,7 +96,7 @@
   public void handlerAdded(ChannelHandlerContext ctx) {
     context = ctx;
     unread = new UnreadAnswers(ctx.channel());
-    idleTimer = new IdleTimer(ctx.executor(), this::onIdle);
+    idleTimer = new IdleTimer(ctx.executor(), () -> shared.readBarrier().runWhenRead(this::onIdle));
   }
 
   @Override
@@ -115,8 +115,7 @@
     shared.connections().remove(this);
     CloseReason reason = ctx.executor().isShuttingDown() ? CloseReason.STOPPING : closeReason;
     if (unanswered > 0) {
-      long now = shared.exchangeDependencies().ticker().read();
-      shared.unanswered().write(reason, callerId(), progress(), now - arrivedNanos);
+      shared.unanswered().write(reason, callerId(), progress(), arrivedNanos);
     }
     closing = true;
     idleTimer.stop();
@@ -456,9 +455,7 @@
   public void evict(EvictionReason reason) {
     if (standing() == Standing.RECEIVING) {
       refuseIncomplete(ExchangeRefusals.noMemoryFor(reason));
-    } else if (reason == EvictionReason.MEMORY
-        && standing() == Standing.ANSWERING
-        && !answerBegun) {
+    } else if (standing() == Standing.ANSWERING && heldAnswer.bytes() > 0) {
       heldAnswer.drop().run();
     } else {
       close(CloseReason.EVICTED);
@@ -488,7 +485,8 @@
   }
 
   private void onIdle() {
-    if (answerPending) {
+    // What was read since the timer expired has stopped it or started another one.
+    if (answerPending || !idleTimer.hasExpired()) {
       return;
     }
     if (unread.areBeingTaken(shared.exchangeDependencies().ticker().read())) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/IdleTimer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/IdleTimer.java
@@ -21,6 +21,11 @@
     scheduled = executor.schedule(onIdle, millis, TimeUnit.MILLISECONDS);
   }
 
+  /** Returns whether the time is over, and it has neither been stopped nor started anew. */
+  boolean hasExpired() {
+    return scheduled != null && scheduled.isDone();
+  }
+
   void stop() {
     if (scheduled != null) {
       scheduled.cancel(false);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -231,7 +231,8 @@
           callerServer.stopAccepting();
           entryServer.stopAccepting();
         };
-    return new ConnectionCloser(dependencies.connections(), stopAccepting, eventLoop, ticker);
+    return new ConnectionCloser(
+        dependencies.connections(), stopAccepting, eventLoop, dependencies.readBarrier());
   }
 
   private void openWhenReady(CallerConnectionDependencies dependencies) {
@@ -402,7 +403,7 @@
         shutdown,
         inFlight,
         memory,
-        new UnansweredRequestLog(dependencies.log(), dependencies.metrics()),
+        new UnansweredRequestLog(dependencies.log(), dependencies.metrics(), ticker),
         dependencies.log());
   }
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/UnansweredRequestLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/UnansweredRequestLog.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.relay;
 
 import com.codahale.metrics.Counter;
+import com.google.common.base.Ticker;
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -13,10 +14,12 @@
  */
 final class UnansweredRequestLog {
   private final EventLog log;
+  private final Ticker ticker;
   private final Map<CloseReason, Counter> counters = new EnumMap<>(CloseReason.class);
 
-  UnansweredRequestLog(EventLog log, GatewayMetrics metrics) {
+  UnansweredRequestLog(EventLog log, GatewayMetrics metrics, Ticker ticker) {
     this.log = log;
+    this.ticker = ticker;
     for (CloseReason reason : CloseReason.values()) {
       counters.put(reason, metrics.registry().counter("requests_unanswered." + reason.wireName()));
     }
@@ -27,9 +30,9 @@
    *
    * @param id its id, empty if its head has not been read
    * @param standing how far it was
-   * @param nanos time since its head was read
+   * @param headNanos monotonic time at which its head was read
    */
-  void write(CloseReason reason, String id, Standing standing, long nanos) {
+  void write(CloseReason reason, String id, Standing standing, long headNanos) {
     counters.get(reason).inc();
     EventLog.Line line =
         reason == CloseReason.CALLER
@@ -38,7 +41,7 @@
     line.with("id", id)
         .with("closed_by", reason.wireName())
         .with("standing", standing.wireName())
-        .with("ms", TimeUnit.NANOSECONDS.toMillis(nanos))
+        .with("ms", TimeUnit.NANOSECONDS.toMillis(ticker.read() - headNanos))
         .write();
   }
 }
