Bound what is read before the answer to a request

Callers saw: a request on a route that may run once waited until its deadline while its backend server sent interim answers, or answers to other requests, without end; on all routes the entry spent its time on reading these.

Cause: both are read and ignored, and nothing limited how many.

A late second copy of an answer is ignored as before.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -29,9 +29,9 @@
  *
  * <p>Invariants: an answer reaches the listener only if it names the pending request; on the first
  * use of the connection, and on those to other entries, it may also name none. An answer that names
- * another request is read and dropped, and the connection is not used again, nor after bytes that
- * belong to no answer. An answer that ends with its connection is complete only if the connection
- * was closed without an error.
+ * another request is read and dropped, as long as these are few, and the connection is not used
+ * again, nor after bytes that belong to no answer. An answer that ends with its connection is
+ * complete only if the connection was closed without an error.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class BackendConnection extends ChannelInboundHandlerAdapter {
@@ -53,6 +53,7 @@
   private boolean receivingAnswer;
   private boolean skippingAnswer;
   private boolean receivingInformational;
+  private IgnoredAnswers ignored = new IgnoredAnswers();
   private boolean requestSent;
   private boolean reusable = true;
   private boolean errored;
@@ -100,6 +101,7 @@
     expectedId = request.id();
     receivingAnswer = false;
     skippingAnswer = false;
+    ignored = new IgnoredAnswers();
     requestSent = false;
     reused = generation > 0;
     sentNanos = System.nanoTime();
@@ -162,6 +164,8 @@
     }
     receivingInformational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     if (receivingInformational) {
+      ignored.addHead();
+      failIfTooMuchIgnored();
       return;
     }
     AnswerHead answer = format.answer(head);
@@ -173,6 +177,8 @@
     if (!unnamed && !answer.requestId().equals(expectedId)) {
       skippingAnswer = true;
       reusable = false;
+      ignored.addHead();
+      failIfTooMuchIgnored();
       return;
     }
     receivingAnswer = true;
@@ -191,12 +197,11 @@
 
   private void onContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
-    if (receivingInformational) {
-      receivingInformational = !last;
-      return;
-    }
-    if (skippingAnswer) {
-      skippingAnswer = !last;
+    if (receivingInformational || skippingAnswer) {
+      receivingInformational &= !last;
+      skippingAnswer &= !last;
+      ignored.addBody(content.content().readableBytes());
+      failIfTooMuchIgnored();
       return;
     }
     if (listener == null || !receivingAnswer) {
@@ -214,6 +219,12 @@
     }
   }
 
+  private void failIfTooMuchIgnored() {
+    if (ignored.exceedLimit()) {
+      fail(AttemptFailure.UNUSABLE);
+    }
+  }
+
   private void complete() {
     AttemptListener receiver = listener;
     listener = null;
