Show a hub whose link is full after a change of the configuration

Cause: a hub sends each changed row whole and uncompressed to all its followers at one moment. Its link carries that before the requests that come next.

--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SimulatedDeployment.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SimulatedDeployment.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -43,6 +44,7 @@
   private final Map<String, Integer> callsByCause = new TreeMap<>();
   private final Set<String> withoutPeers = new HashSet<>();
   private String cutOffDataCentre = "";
+  private Optional<SimulatedLinks> links = Optional.empty();
   private final Map<String, Member> killed = new HashMap<>();
   private final SimulatedStore store = new SimulatedStore(loop.eventLoop(), clock);
 
@@ -73,6 +75,13 @@
     return new TreeMap<>(callsByCause);
   }
 
+  /** Measures from now on how long messages take the links of entries, and returns the measure. */
+  SimulatedLinks measureLinks(long bytesPerSecond) {
+    SimulatedLinks measured = new SimulatedLinks(bytesPerSecond, clock);
+    links = Optional.of(measured);
+    return measured;
+  }
+
   /** Lets no message between an entry and any other one through any more. */
   void cutOffFromPeers(String name) {
     withoutPeers.add(name);
@@ -184,7 +193,11 @@
             var unused =
                 entry
                     .onRequest(from.self.name(), message)
-                    .thenAccept(m -> after(HOP, () -> answer.complete(m)));
+                    .thenAccept(
+                        m -> {
+                          links.filter(l -> m != null).ifPresent(l -> l.send(to, m));
+                          after(HOP, () -> answer.complete(m));
+                        });
           }
         });
     return answer;
