Compress the long rows that a hub sends to its followers, once for all of them

Cause: a hub sends each changed row whole to each of its followers. A configuration of 50 routes and 47 keys is 18,763 bytes in an answer, 63 registrations are 10,673; 26 followers get 0.49 and 0.28 MB at one moment, which takes a link of 7 Mbit/s (0.875 MB/s) for 0.56 and 0.32 s. Change: rows that take 1 KB or more in one answer are deflated at the fastest level, once for all followers that get the same. Only a query that says so is answered in this form. A third component of the query would change its bytes for all builds, so it says it in place of a table's version: earlier builds look up only tables that they have. The follower inflates on its control thread and at most 4 MB; unreadable rows are logged (`hub_answer_unreadable`), and it turns to the next entry as after a refusal.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/HubFollower.java
@@ -1,5 +1,6 @@
 package org.guavagw.gateway.internal.control;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
@@ -11,11 +12,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.peers.CompressedReplicaAnswer;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.PeerClient;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
+import org.guavagw.gateway.internal.peers.ReplicaRowsCodec;
 import org.guavagw.gateway.spi.RowBatch;
 import org.guavagw.internal.peer.PeerException;
 import org.guavagw.internal.peer.PeerFailure;
@@ -93,6 +96,7 @@
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final EventLog log;
+  private final ReplicaRowsCodec rowsCodec = new ReplicaRowsCodec();
   private boolean membersKnown;
   private boolean firstStart;
   private boolean asking;
@@ -235,7 +239,9 @@
     long sent = ++step;
     peers
         .request(
-            hub, new ReplicaQuery(commonEra(), versions), timing.holdTime().plus(DELIVERY_TIME))
+            hub,
+            new ReplicaQuery(commonEra(), versions).acceptingCompressed(),
+            timing.holdTime().plus(DELIVERY_TIME))
         .whenCompleteAsync(
             (answer, failure) -> onAnswer(hub, sent, sentAt, answer, failure), control);
     if (!following) {
@@ -260,6 +266,8 @@
       String hub, long sent, ClockReading sentAt, PeerMessage message, Throwable failure) {
     if (message instanceof ReplicaAnswer answer) {
       onAnswer(hub, sent, sentAt, answer);
+    } else if (message instanceof CompressedReplicaAnswer compressed) {
+      decompress(hub, sent, compressed).ifPresent(a -> onAnswer(hub, sent, sentAt, a));
     } else {
       boolean refused = failure == null || isRefusal(failure);
       String reason = failure == null ? "refused" : String.valueOf(failure.getMessage());
@@ -267,6 +275,18 @@
     }
   }
 
+  private Optional<ReplicaAnswer> decompress(
+      String hub, long sent, CompressedReplicaAnswer compressed) {
+    try {
+      return Optional.of(compressed.decompress(rowsCodec));
+    } catch (IOException e) {
+      String reason = String.valueOf(e.getMessage());
+      log.event("hub_answer_unreadable").with("hub", hub).with("reason", reason).write();
+      abandon(hub, sent, false, reason);
+      return Optional.empty();
+    }
+  }
+
   private static boolean isRefusal(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof PeerException e && e.failure() == PeerFailure.NOT_HANDLED;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
@@ -42,6 +42,7 @@
   private final CurrentControlView currentView;
   private final ScheduledExecutorService control;
   private final Clocks clocks;
+  private final AnswerCompressor compressor = new AnswerCompressor();
   private final List<PendingQuery> pendingQueries = new ArrayList<>();
   private final Map<String, Long> lastQueryNanos = new HashMap<>();
 
@@ -158,15 +159,17 @@
         .orElse(Long.MIN_VALUE / 2);
   }
 
-  private ReplicaAnswer answerTo(PendingQuery pending) {
+  private PeerMessage answerTo(PendingQuery pending) {
     List<TableUpdate> updates = replicas.stream().map(r -> update(r, pending.query())).toList();
-    return new ReplicaAnswer(
-        orders.era(),
-        checkedAfter(pending),
-        currentView.storeMillis(),
-        lapsesExpected.getAsBoolean(),
-        updates,
-        newerConfig.get());
+    ReplicaAnswer answer =
+        new ReplicaAnswer(
+            orders.era(),
+            checkedAfter(pending),
+            currentView.storeMillis(),
+            lapsesExpected.getAsBoolean(),
+            updates,
+            newerConfig.get());
+    return pending.query().acceptsCompressed() ? compressor.compress(answer) : answer;
   }
 
   private static TableUpdate update(TableReplica replica, ReplicaQuery query) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/PeerMessenger.java
@@ -36,6 +36,7 @@
           new PeerMessageType<>("measurement-report", MeasurementReport.class),
           new PeerMessageType<>("replica-query", ReplicaQuery.class),
           new PeerMessageType<>("replica-answer", ReplicaAnswer.class),
+          new PeerMessageType<>("compressed-replica-answer", CompressedReplicaAnswer.class),
           new PeerMessageType<>("config-query", ConfigQuery.class),
           new PeerMessageType<>("config-answer", ConfigAnswer.class),
           new PeerMessageType<>("sessions", SessionReport.class),
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubFollowerTest.java
@@ -13,11 +13,14 @@
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.logging.EventLog;
+import org.guavagw.gateway.internal.peers.CompressedReplicaAnswer;
 import org.guavagw.gateway.internal.peers.HubSelector;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
+import org.guavagw.gateway.internal.peers.ReplicaRows;
+import org.guavagw.gateway.internal.peers.ReplicaRowsCodec;
 import org.guavagw.gateway.spi.RowBatch;
 import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerMessage;
@@ -218,6 +221,38 @@
     assertThat(pollsStore).isTrue();
   }
 
+  @Test
+  void shouldApplyCompressedRows() {
+    follower.onReplicaChanged();
+    ReplicaRows rows =
+        new ReplicaRows(
+            List.of(new TableUpdate(TABLE, 2, false, List.of(row("a", 2)))),
+            List.of(row("config", 9)));
+
+    complete(
+        CompressedReplicaAnswer.of(
+            new ReplicaAnswer(0, 0, 1, false, List.of(), List.of()),
+            new ReplicaRowsCodec().compress(rows)));
+    advance(HubFollower.MAX_SEARCH_TIME);
+
+    assertThat(changedKeys).containsExactly("a");
+    assertThat(newerConfigs).extracting(StoredRow::key).containsExactly("config");
+    assertThat(pollsStore).isFalse();
+  }
+
+  @Test
+  void shouldTurnToTheNextEntryWhenCompressedRowsAreUnreadable() {
+    followHub();
+
+    complete(
+        CompressedReplicaAnswer.of(
+            new ReplicaAnswer(0, 0, 1, false, List.of(), List.of()), new byte[] {1, 2, 3}));
+    assertThat(pendingQueries).as("queries to the next entry").hasSize(1);
+    advance(HubFollower.MAX_SEARCH_TIME);
+
+    assertThat(pollsStore).isTrue();
+  }
+
   private void followHub() {
     follower.onReplicaChanged();
     answer(Duration.ZERO);
@@ -230,7 +265,7 @@
     complete(new ReplicaAnswer(0, checkedAfter.toNanos(), 1, false, List.of(update), List.of()));
   }
 
-  private void complete(ReplicaAnswer answer) {
+  private void complete(PeerMessage answer) {
     pendingQueries.remove().complete(answer);
     control.runPendingTasks();
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
@@ -1,8 +1,10 @@
 package org.guavagw.gateway.internal.control;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -10,8 +12,10 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.ManualClock;
+import org.guavagw.gateway.internal.peers.CompressedReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
+import org.guavagw.gateway.internal.peers.ReplicaRowsCodec;
 import org.guavagw.gateway.spi.RowBatch;
 import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerMessage;
@@ -191,6 +195,62 @@
     assertThat(query(5).join()).isNull();
   }
 
+  @Test
+  void shouldCompressLongRowsForAFollowerThatAcceptsThem() throws IOException {
+    StoredRow row = longRow("config", 6);
+    applyBatch(new RowBatch(List.of(row), 0, 6, 6));
+
+    CompressedReplicaAnswer compressed = (CompressedReplicaAnswer) acceptingQuery(5).join();
+
+    assertThat(compressed.rows().length).isLessThan(row.value().length / 10);
+    assertThat(compressed.decompress(new ReplicaRowsCodec()))
+        .usingRecursiveComparison()
+        .isEqualTo(query(5).join());
+  }
+
+  @Test
+  void shouldCompressTheSameRowsOnceForAllFollowers() {
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+    CompressedReplicaAnswer first = (CompressedReplicaAnswer) acceptingQuery(5).join();
+
+    assertThat(((CompressedReplicaAnswer) acceptingQuery(5).join()).rows()).isSameAs(first.rows());
+  }
+
+  @Test
+  void shouldCompressTheNextVersionOfARowAnew() throws IOException {
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+    assertThat(acceptingQuery(5)).isDone();
+    StoredRow next = longRow("config", 7);
+    applyBatch(new RowBatch(List.of(next), 0, 7, 7));
+
+    CompressedReplicaAnswer compressed = (CompressedReplicaAnswer) acceptingQuery(5).join();
+
+    assertThat(compressed.decompress(new ReplicaRowsCodec()).tables().get(0).rows())
+        .usingRecursiveFieldByFieldElementComparator()
+        .containsExactly(next);
+  }
+
+  @Test
+  void shouldSendLongRowsAsTheyAreToAnEarlierBuild() {
+    StoredRow row = longRow("config", 6);
+    applyBatch(new RowBatch(List.of(row), 0, 6, 6));
+
+    assertThat(answerOf(query(5)).tables().get(0).rows()).containsExactly(row);
+  }
+
+  @Test
+  void shouldSendShortRowsAsTheyAre() {
+    applyBatch(new RowBatch(List.of(row("b", 6)), 0, 6, 6));
+
+    assertThat(answerOf(acceptingQuery(5)).tables().get(0).rows()).containsExactly(row("b", 6));
+  }
+
+  private CompletableFuture<PeerMessage> acceptingQuery(long version) {
+    return server
+        .onQuery(FOLLOWER, new ReplicaQuery(0, Map.of(TABLE, version)).acceptingCompressed())
+        .toCompletableFuture();
+  }
+
   private CompletableFuture<PeerMessage> query(long version) {
     return server
         .onQuery(FOLLOWER, new ReplicaQuery(0, Map.of(TABLE, version)))
@@ -218,6 +278,10 @@
 
   private static final byte[] EMPTY = new byte[0];
 
+  private static StoredRow longRow(String key, long version) {
+    return new StoredRow(key, ("value " + version).repeat(3000).getBytes(UTF_8), version, false);
+  }
+
   private static StoredRow row(String key, long version) {
     return new StoredRow(key, EMPTY, version, false);
   }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/EarlierBuildMessagesTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/EarlierBuildMessagesTest.java
@@ -11,6 +11,7 @@
 import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerCodec;
 import org.guavagw.internal.peer.PeerMessage;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -76,4 +77,30 @@
         .usingRecursiveComparison()
         .isEqualTo(message);
   }
+
+  @Test
+  void shouldAcceptNoCompressedRowsInTheQueryOfTheEarlierBuild() {
+    byte[] bytes = HexFormat.of().parseHex("92ff81a66f726465727301");
+
+    assertThat(codec.decode(bytes, ReplicaQuery.class).acceptsCompressed()).isFalse();
+  }
+
+  @Test
+  void shouldSendAQueryOfWhichTheEarlierBuildReadsTheSameVersions() {
+    ReplicaQuery query = new ReplicaQuery(7, Map.of("orders", 1L)).acceptingCompressed();
+
+    EarlierReplicaQuery read = codec.decode(codec.encode(query), EarlierReplicaQuery.class);
+
+    assertThat(read.era()).isEqualTo(7);
+    assertThat(read.versionOf("orders")).isEqualTo(1);
+    assertThat(read.versionOf("servers")).isZero();
+    assertThat(codec.decode(codec.encode(query), ReplicaQuery.class).acceptsCompressed()).isTrue();
+  }
+
+  /** The query as the earlier build has it. */
+  private record EarlierReplicaQuery(long era, Map<String, Long> versions) {
+    long versionOf(String table) {
+      return versions.getOrDefault(table, 0L);
+    }
+  }
 }
