Send the long answers of a hub one after the other rather than all at one moment

Cause: a change is sent to all followers at one moment, whatever it takes, and the requests that come next wait until the link has carried it. Compressing makes it shorter but bounds nothing. Change: ReplicaServer sends answers with rows while less than 20 KB were sent in a period of 50 ms (SendBudget), about half of a link of 7 Mbit/s. The other queries stay pending, in an order that differs, for 0.25 s at most, as a follower leaves its hub 0.4 s after the hold time; their answers are made when they are sent and have the rows of that time. First queries aren't held back, as entries that start ask another reader after 0.15 s; nor are answers without rows, which confirm the orders.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/AnswerCompressor.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/AnswerCompressor.java
@@ -28,7 +28,7 @@
 
   /** Returns an answer in the form in which a follower that accepts compressed rows gets it. */
   PeerMessage compress(ReplicaAnswer answer) {
-    ReplicaRows rows = new ReplicaRows(answer.tables(), answer.newerConfig());
+    ReplicaRows rows = ReplicaRows.of(answer);
     long bytes = rows.approximateBytes();
     if (bytes < MIN_BYTES || bytes > ReplicaRowsCodec.MAX_BYTES) {
       return answer;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
@@ -2,18 +2,23 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.guavagw.gateway.internal.peers.CompressedReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer.TableUpdate;
 import org.guavagw.gateway.internal.peers.ReplicaQuery;
+import org.guavagw.gateway.internal.peers.ReplicaRows;
 import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerMessage;
 import org.guavagw.internal.time.Clocks;
@@ -25,13 +30,25 @@
  * <p>A query is held until something changed, until the orders were checked again, or until the
  * hold time is over; the first one of a follower is answered at once, unless the orders are too old
  * to follow this entry. It is refused (answered with null) while the replicas of this entry may be
- * out of date. Confined to the control thread.
+ * out of date.
+ *
+ * <p>Answers with rows share the link with requests. Those of one period are limited in bytes; the
+ * others are held back, each for a limited time. First queries and answers without rows are never
+ * held back. Confined to the control thread.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ReplicaServer {
   /** An entry that got no queries for this time has no followers. */
   private static final Duration FOLLOWER_TIMEOUT = Duration.ofSeconds(3);
 
+  private static final Duration SEND_PERIOD = Duration.ofMillis(50);
+
+  /** About half of what a link of 7 Mbit/s carries in a period; the rest is for requests. */
+  private static final int BYTES_PER_PERIOD = 20_000;
+
+  /** A follower leaves its hub if an answer comes 400 ms after the hold time. */
+  private static final Duration MAX_DELAY = Duration.ofMillis(250);
+
   private final List<TableReplica> replicas;
   private final HubTiming timing;
   private final TableReplica orders;
@@ -43,8 +60,10 @@
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final AnswerCompressor compressor = new AnswerCompressor();
+  private final SendBudget budget = new SendBudget(BYTES_PER_PERIOD, SEND_PERIOD);
   private final List<PendingQuery> pendingQueries = new ArrayList<>();
   private final Map<String, Long> lastQueryNanos = new HashMap<>();
+  private boolean nextPeriodScheduled;
 
   /**
    * Creates a server.
@@ -88,21 +107,24 @@
       listener.onFirstFollower();
     }
     boolean first = lastQueryNanos.put(follower, arrivedAt.nanos()) == null;
-    PendingQuery pending = new PendingQuery(query, arrivedAt, new CompletableFuture<>());
+    PendingQuery pending = new PendingQuery(query, arrivedAt);
     boolean outdated = isOutdated();
     if (outdated) {
       listener.onOutdated();
     }
-    if (!canAnswer(query)) {
-      pending.answer().complete(null);
-    } else if (!outdated && (first || hasUpdate(pending))) {
-      pending.answer().complete(answerTo(pending));
-    } else {
-      pendingQueries.add(pending);
+    pendingQueries.add(pending);
+    if (!canAnswer(query) || (!outdated && first)) {
+      complete(pending);
+    } else if (!outdated && hasUpdate(pending)) {
+      completeUnlessHeldBack(pending);
+    }
+    if (pendingQueries.contains(pending)) {
       control.schedule(
-          () -> complete(pending), timing.holdTime().toMillis(), TimeUnit.MILLISECONDS);
+          () -> completeUnlessHeldBack(pending),
+          timing.holdTime().toMillis(),
+          TimeUnit.MILLISECONDS);
     }
-    return pending.answer();
+    return pending.answer;
   }
 
   private boolean isOutdated() {
@@ -112,25 +134,56 @@
         .orElse(true);
   }
 
-  /** Answers the pending queries for which there is an update now. */
+  /** Answers the pending queries for which there is an update now, as far as the budget allows. */
   void onReplicaChanged() {
-    for (PendingQuery pending : List.copyOf(pendingQueries)) {
-      if (hasUpdate(pending)) {
-        complete(pending);
-      }
-    }
+    List<PendingQuery> updated = new ArrayList<>(pendingQueries);
+    updated.removeIf(pending -> !hasUpdate(pending));
+    Collections.shuffle(updated, ThreadLocalRandom.current());
+    updated.forEach(this::completeUnlessHeldBack);
   }
 
   /** Refuses all pending queries, so that the followers poll the store themselves. */
   void refuseAll() {
     List<PendingQuery> refused = List.copyOf(pendingQueries);
     pendingQueries.clear();
-    refused.forEach(pending -> pending.answer().complete(null));
+    refused.forEach(pending -> pending.answer.complete(null));
+  }
+
+  private void completeUnlessHeldBack(PendingQuery pending) {
+    if (!pendingQueries.contains(pending)) {
+      return;
+    }
+    if (isHeldBack(pending)) {
+      scheduleNextPeriod();
+    } else {
+      complete(pending);
+    }
+  }
+
+  private boolean isHeldBack(PendingQuery pending) {
+    long now = nowNanos();
+    return hasRows(pending.query)
+        && !budget.isLeft(now)
+        && now - pending.heldBackSince(now) < MAX_DELAY.toNanos();
+  }
+
+  private void scheduleNextPeriod() {
+    if (nextPeriodScheduled) {
+      return;
+    }
+    nextPeriodScheduled = true;
+    control.schedule(
+        () -> {
+          nextPeriodScheduled = false;
+          onReplicaChanged();
+        },
+        SEND_PERIOD.toMillis(),
+        TimeUnit.MILLISECONDS);
   }
 
   private void complete(PendingQuery pending) {
     if (pendingQueries.remove(pending)) {
-      pending.answer().complete(canAnswer(pending.query()) ? answerTo(pending) : null);
+      pending.answer.complete(canAnswer(pending.query) ? answerTo(pending) : null);
     }
   }
 
@@ -141,8 +194,15 @@
   }
 
   private boolean hasUpdate(PendingQuery pending) {
-    return checkedAfter(pending) >= 0
-        || replicas.stream().anyMatch(r -> hasUpdate(r, pending.query()));
+    return checkedAfter(pending) >= 0 || hasUpdate(pending.query);
+  }
+
+  private boolean hasRows(ReplicaQuery query) {
+    return hasUpdate(query) || !newerConfig.get().isEmpty();
+  }
+
+  private boolean hasUpdate(ReplicaQuery query) {
+    return replicas.stream().anyMatch(r -> hasUpdate(r, query));
   }
 
   private static boolean hasUpdate(TableReplica replica, ReplicaQuery query) {
@@ -155,12 +215,12 @@
   private long checkedAfter(PendingQuery pending) {
     return orders
         .lastChecked()
-        .map(c -> c.elapsedSince(pending.arrivedAt()).toNanos())
+        .map(c -> c.elapsedSince(pending.arrivedAt).toNanos())
         .orElse(Long.MIN_VALUE / 2);
   }
 
   private PeerMessage answerTo(PendingQuery pending) {
-    List<TableUpdate> updates = replicas.stream().map(r -> update(r, pending.query())).toList();
+    List<TableUpdate> updates = replicas.stream().map(r -> update(r, pending.query)).toList();
     ReplicaAnswer answer =
         new ReplicaAnswer(
             orders.era(),
@@ -169,7 +229,15 @@
             lapsesExpected.getAsBoolean(),
             updates,
             newerConfig.get());
-    return pending.query().acceptsCompressed() ? compressor.compress(answer) : answer;
+    PeerMessage sent = pending.query.acceptsCompressed() ? compressor.compress(answer) : answer;
+    budget.spend(bytesOfRows(sent), nowNanos());
+    return sent;
+  }
+
+  private static long bytesOfRows(PeerMessage answer) {
+    return answer instanceof CompressedReplicaAnswer compressed
+        ? compressed.rows().length
+        : ReplicaRows.of((ReplicaAnswer) answer).approximateBytes();
   }
 
   private static TableUpdate update(TableReplica replica, ReplicaQuery query) {
@@ -180,7 +248,24 @@
     return clocks.monotonic().read();
   }
 
-  /** A query that waits for its answer. Immutable except for the answer. */
-  private record PendingQuery(
-      ReplicaQuery query, ClockReading arrivedAt, CompletableFuture<PeerMessage> answer) {}
+  /** A query that waits for its answer. Confined to the control thread. */
+  private static final class PendingQuery {
+    private final ReplicaQuery query;
+    private final ClockReading arrivedAt;
+    private final CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+    private OptionalLong heldBackNanos = OptionalLong.empty();
+
+    PendingQuery(ReplicaQuery query, ClockReading arrivedAt) {
+      this.query = query;
+      this.arrivedAt = arrivedAt;
+    }
+
+    /** Returns when its answer was held back first, which is now if it was not before. */
+    long heldBackSince(long nowNanos) {
+      if (heldBackNanos.isEmpty()) {
+        heldBackNanos = OptionalLong.of(nowNanos);
+      }
+      return heldBackNanos.getAsLong();
+    }
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ReplicaRows.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ReplicaRows.java
@@ -18,6 +18,11 @@
     newerConfig = List.copyOf(newerConfig);
   }
 
+  /** Returns the rows of an answer. */
+  public static ReplicaRows of(ReplicaAnswer answer) {
+    return new ReplicaRows(answer.tables(), answer.newerConfig());
+  }
+
   /** Returns about how many bytes the rows take if they are not compressed, rather too many. */
   public long approximateBytes() {
     return tables.stream().mapToLong(t -> approximateBytes(t.rows())).sum()
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.peers.CompressedReplicaAnswer;
 import org.guavagw.gateway.internal.peers.ReplicaAnswer;
@@ -27,6 +28,8 @@
   private static final String FOLLOWER = "entry-1";
   private static final HubTiming TIMING = HubTiming.within(Duration.ofSeconds(2));
   private static final Duration HOLD_TIME = TIMING.holdTime();
+  private static final Duration SEND_PERIOD = Duration.ofMillis(50);
+  private static final Duration MAX_DELAY = Duration.ofMillis(250);
 
   private int refreshes;
   private int outdated;
@@ -245,6 +248,85 @@
     assertThat(answerOf(acceptingQuery(5)).tables().get(0).rows()).containsExactly(row("b", 6));
   }
 
+  @Test
+  void shouldSendLongAnswersOneAfterTheOther() {
+    List<CompletableFuture<PeerMessage>> pending = queries(3);
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+    assertThat(pending).filteredOn(CompletableFuture::isDone).hasSize(1);
+
+    advance(SEND_PERIOD);
+    assertThat(pending).filteredOn(CompletableFuture::isDone).hasSize(2);
+
+    advance(SEND_PERIOD);
+    assertThat(pending).allMatch(CompletableFuture::isDone);
+  }
+
+  @Test
+  void shouldHoldBackNoAnswerForLongerThanTheMaximum() {
+    List<CompletableFuture<PeerMessage>> pending = queries(20);
+    advance(HOLD_TIME.minusMillis(10));
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+
+    for (Duration passed = Duration.ZERO; passed.compareTo(MAX_DELAY) < 0; ) {
+      assertThat(pending).anyMatch(p -> !p.isDone());
+      passed = passed.plus(SEND_PERIOD);
+      advance(SEND_PERIOD);
+    }
+
+    assertThat(pending).allMatch(CompletableFuture::isDone);
+  }
+
+  @Test
+  void shouldAnswerWithTheRowsOfNowAfterItHeldAnAnswerBack() {
+    List<CompletableFuture<PeerMessage>> pending = queries(2);
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+    StoredRow next = longRow("config", 7);
+    applyBatch(new RowBatch(List.of(next), 0, 7, 7));
+
+    advance(SEND_PERIOD);
+
+    assertThat(pending)
+        .extracting(p -> answerOf(p).tables().get(0).version())
+        .containsExactlyInAnyOrder(6L, 7L);
+  }
+
+  @Test
+  void shouldNotHoldBackAnswersWithoutRows() {
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+    assertThat(query(5)).isDone();
+    CompletableFuture<PeerMessage> pending = query(6);
+
+    applyBatch(new RowBatch(List.of(), 0, 6, 6));
+
+    assertThat(answerOf(pending).checkedAfterNanos()).isZero();
+  }
+
+  @Test
+  void shouldNotHoldBackTheAnswerToTheFirstQueryOfAFollower() {
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+    assertThat(query(5)).isDone();
+    assertThat(query(5)).isNotDone();
+
+    ReplicaQuery query = new ReplicaQuery(0, Map.of(TABLE, 5L));
+
+    assertThat(server.onQuery("entry-2", query).toCompletableFuture()).isDone();
+  }
+
+  @Test
+  void shouldRefuseQueriesWhoseAnswersAreHeldBackWhenTheStoreFails() {
+    List<CompletableFuture<PeerMessage>> pending = queries(2);
+    applyBatch(new RowBatch(List.of(longRow("config", 6)), 0, 6, 6));
+
+    health.onFailure(TABLE);
+    server.refuseAll();
+
+    assertThat(pending).allMatch(CompletableFuture::isDone).anyMatch(p -> answerOf(p) == null);
+  }
+
+  private List<CompletableFuture<PeerMessage>> queries(int count) {
+    return Stream.generate(() -> query(5)).limit(count).toList();
+  }
+
   private CompletableFuture<PeerMessage> acceptingQuery(long version) {
     return server
         .onQuery(FOLLOWER, new ReplicaQuery(0, Map.of(TABLE, version)).acceptingCompressed())
