--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/CompressedReplicaAnswer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/CompressedReplicaAnswer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Objects;
 import org.guavagw.internal.peer.PeerMessage;
 
 /**
@@ -12,6 +13,10 @@
  */
 public record CompressedReplicaAnswer(ReplicaAnswer withoutRows, byte[] rows)
     implements PeerMessage {
+  public CompressedReplicaAnswer {
+    Objects.requireNonNull(withoutRows);
+    Objects.requireNonNull(rows);
+  }
 
   /** Returns an answer whose rows are compressed already. */
   public static CompressedReplicaAnswer of(ReplicaAnswer answer, byte[] rows) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/peers/PeerMessagesTest.java
@@ -1,8 +1,11 @@
 package org.guavagw.gateway.internal.peers;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -10,6 +13,8 @@
 import org.guavagw.gateway.spi.StoredRow;
 import org.guavagw.internal.peer.PeerCodec;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class PeerMessagesTest {
   private final PeerCodec codec = new PeerCodec();
@@ -27,6 +32,28 @@
     assertThat(decoded).usingRecursiveComparison().isEqualTo(answer);
   }
 
+  @Test
+  void shouldEncodeAndDecodeCompressedTableChanges() {
+    ReplicaAnswer answer = new ReplicaAnswer(3, -5, 12, true, List.of(), List.of());
+    CompressedReplicaAnswer compressed = CompressedReplicaAnswer.of(answer, new byte[] {1, 2});
+
+    byte[] encoded = codec.encode(compressed);
+
+    assertThat(HexFormat.of().formatHex(encoded)).isEqualTo("929603fb0cc39090c4020102");
+    assertThat(codec.decode(encoded, CompressedReplicaAnswer.class))
+        .usingRecursiveComparison()
+        .isEqualTo(compressed);
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"90", "92c0c4020102", "929603fb0cc39090c0"})
+  void shouldNotDecodeACompressedAnswerThatLacksAPart(String bytes) {
+    byte[] encoded = HexFormat.of().parseHex(bytes);
+
+    assertThatThrownBy(() -> codec.decode(encoded, CompressedReplicaAnswer.class))
+        .isInstanceOf(UncheckedIOException.class);
+  }
+
   @Test
   void shouldEncodeAndDecodeDemand() {
     Map<String, ServiceDemand> demand =
