Let the load reports of a hub take a fifth of its link

Cause: a hub sends each of its followers the work at all busy servers five times a second, all in one tick, and the measurements of all servers every two seconds, all at once. With 126 servers and 26 followers that takes most of the link. New connections then take longer than their time-out of 300 ms, most of all after a configuration. Change: the interval of the summaries follows from their size and the link that the settings state, from 190 ms to 750 ms, and the followers take turns; measurements go to a part of the followers each 100 ms. Urgent notices go out at once as before. Where the settings state no link, or a fast one, the interval stays as it was.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
@@ -9,6 +9,9 @@
  * @param byIncarnation work by incarnation, without backend servers that have none
  */
 public record ServerWork(Map<String, Work> byIncarnation, ServerNotices notices) {
+  /** What the work at one backend server takes in a message beside its name. */
+  private static final int WORK_BYTES = 13;
+
   /** No work at any backend server. */
   public static final ServerWork NONE = new ServerWork(Map.of(), ServerNotices.NONE);
 
@@ -29,6 +32,11 @@
     return byIncarnation.hashCode();
   }
 
+  /** Returns about how many bytes this takes in a message, without the notices. */
+  public long approximateBytes() {
+    return byIncarnation.keySet().stream().mapToLong(name -> name.length() + WORK_BYTES).sum();
+  }
+
   /** Returns the work at a backend server. */
   public Work at(String incarnation) {
     return byIncarnation.getOrDefault(incarnation, Work.NONE);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/MeasurementExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/MeasurementExchange.java
@@ -1,6 +1,8 @@
 package org.guavagw.gateway.internal.placement;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +31,12 @@
   /** Interval between calls of {@link #tick}. */
   public static final Duration PERIOD = Duration.ofSeconds(2);
 
+  /** Interval between calls of {@link #sendSome}. */
+  public static final Duration STEP = WorkReportSender.PERIOD;
+
+  /** Steps in which all followers are sent a report; the next period begins after them. */
+  static final int STEPS = (int) PERIOD.dividedBy(STEP) / 2;
+
   /** Age at which a report expires. */
   private static final Duration MAX_AGE = PERIOD.multipliedBy(4);
 
@@ -45,6 +53,9 @@
   private final GatewayMetrics metrics;
   private final Map<String, Received> byEntry = new HashMap<>();
   private final Map<String, Received> byDataCentre = new HashMap<>();
+  private final Deque<String> unsent = new ArrayDeque<>();
+  private Measurements totalToSend = Measurements.NONE;
+  private int receiversPerStep;
   private Received all = new Received(Measurements.NONE, 0);
 
   /**
@@ -88,6 +99,13 @@
     loads.useMeasurements(exchange(own, nowNanos));
   }
 
+  /** Sends what is known of all entries to some of the followers that have not got it yet. */
+  public void sendSome() {
+    for (int i = 0; i < receiversPerStep && !unsent.isEmpty(); i++) {
+      send(unsent.remove(), Scope.ALL, totalToSend);
+    }
+  }
+
   /** Returns what is known of all entries. */
   private Measurements exchange(Measurements own, long nowNanos) {
     Members known = members.get();
@@ -109,7 +127,10 @@
   private Measurements exchangeAsHub(Members known, Measurements own) {
     Measurements ofDataCentre = own.plus(sum(byEntry, known.localPeers()));
     Measurements total = ofDataCentre.plus(sum(byDataCentre, known.remoteMembers().keySet()));
-    known.localPeers().forEach(peer -> send(peer, Scope.ALL, total));
+    unsent.clear();
+    unsent.addAll(known.localPeers());
+    receiversPerStep = (int) Math.ceil((double) unsent.size() / STEPS);
+    totalToSend = total;
     known
         .remoteMembers()
         .forEach(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
@@ -38,8 +38,8 @@
   /** Largest number of entries that all report to one another; up to here this costs little. */
   static final int MAX_MESH_ENTRIES = 12;
 
-  /** Minimum interval of reports to or from the hub; two hops take less time than a prefill. */
-  private static final Duration HUB_INTERVAL = Duration.ofMillis(190);
+  /** Minimum interval of reports to the hub. */
+  private static final Duration HUB_INTERVAL = SummarySchedule.MIN_INTERVAL;
 
   /** Minimum interval between data centres, where traffic is expensive and requests are few. */
   private static final Duration CROSS_DATA_CENTRE_INTERVAL = Duration.ofMillis(290);
@@ -55,6 +55,7 @@
   private final HubSelector hubSelector;
   private final LongFunction<ServerNotices> notices;
   private final BiConsumer<String, PeerMessage> send;
+  private final long linkBytesPerSecond;
   private final Map<String, Sent> sent = new HashMap<>();
 
   /**
@@ -62,18 +63,21 @@
    *
    * @param notices returns what else other entries are to be told at a monotonic time
    * @param send sends a report to an entry
+   * @param linkBytesPerSecond what the link of this entry carries
    */
   public WorkReportSender(
       LoadTracker loads,
       Supplier<Members> members,
       HubSelector hubSelector,
       LongFunction<ServerNotices> notices,
-      BiConsumer<String, PeerMessage> send) {
+      BiConsumer<String, PeerMessage> send,
+      long linkBytesPerSecond) {
     this.loads = loads;
     this.members = members;
     this.hubSelector = hubSelector;
     this.notices = notices;
     this.send = send;
+    this.linkBytesPerSecond = linkBytesPerSecond;
   }
 
   /** Sends the reports that are due, and all with urgent notices. */
@@ -107,12 +111,7 @@
   private void sendAsHub(Members known, ServerWork own, long nowNanos) {
     PeerWorkReports reports = loads.peerReports();
     ServerWork all = own.plus(reports.total());
-    for (String localPeer : known.localPeers()) {
-      if (isDue(localPeer, HUB_INTERVAL, nowNanos) || isUrgent(localPeer, all)) {
-        ServerWork others = all.minus(reports.ofEntry(localPeer));
-        sendIfDue(localPeer, others, WorkSummary::new, HUB_INTERVAL, nowNanos);
-      }
-    }
+    sendSummaries(known.localPeers(), all, nowNanos);
     String dataCentre = known.localDataCentre();
     ServerWork ofDataCentre = own.plus(reports.ofLocalPeers());
     known
@@ -130,6 +129,19 @@
                                 nowNanos)));
   }
 
+  private void sendSummaries(Set<String> receivers, ServerWork all, long nowNanos) {
+    SummarySchedule schedule = SummarySchedule.of(all, receivers.size(), linkBytesPerSecond);
+    int left = schedule.receiversPerTick();
+    for (String receiver : receivers) {
+      boolean due = left > 0 && isDue(receiver, schedule.interval(), nowNanos);
+      if (due || isUrgent(receiver, all)) {
+        ServerWork others = all.minus(loads.peerReports().ofEntry(receiver));
+        sendIfDue(receiver, others, WorkSummary::new, schedule.interval(), nowNanos);
+        left -= due ? 1 : 0;
+      }
+    }
+  }
+
   /** Returns the entry that reports for a data centre, or the likely ones if none does. */
   private List<String> hubsOf(String dataCentre, List<Member> ranked) {
     PeerWorkReports reports = loads.peerReports();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -148,8 +148,9 @@
     this.pool = closer.register(newPool(transport, format, readBarrier));
     this.forwarding = closer.register(newForwarding(transport, format, readBarrier, peers));
     this.availability = newAvailability(log);
+    long link = settings.resources().linkBytesPerSecond();
     this.workReportSender =
-        new WorkReportSender(loads, members, hubSelector, this::noticesToTell, peers::send);
+        new WorkReportSender(loads, members, hubSelector, this::noticesToTell, peers::send, link);
     var versions =
         new VersionSelector(settings.sessionTimeout(), settings.exposureLimit(), rollouts);
     BackendSelector selector = newSelector(versions, settings);
@@ -329,6 +330,7 @@
         MeasurementReport.class,
         (from, message) -> exchange.onReport(from.memberId(), message, ticker.read()));
     runEvery(MeasurementExchange.PERIOD, () -> exchange.tick(ticker.read()));
+    runEvery(MeasurementExchange.STEP, exchange::sendSome);
   }
 
   private QueueingScheduler newScheduler(
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/memory/MemoryAccountTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/memory/MemoryAccountTest.java
@@ -97,7 +97,7 @@
 
   @Test
   void shouldTakeTheSmallestOfThePartsOfMemory() {
-    ProcessResources resources = new ProcessResources(800, 1200);
+    ProcessResources resources = new ProcessResources(800, 1200, 0);
 
     assertThat(MemoryLimits.of(resources, 4000, 4000)).isEqualTo(new MemoryLimits(100, 700));
     assertThat(MemoryLimits.of(resources, 80, 4000).heldBytes()).isEqualTo(20);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerSpeedTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/ServerSpeedTest.java
@@ -101,6 +101,9 @@
     for (long tick = 1; tick <= 4; tick++) {
       for (Entry entry : entries) {
         entry.exchange.tick(tick * MeasurementExchange.PERIOD.toNanos());
+        for (int step = 0; step < MeasurementExchange.STEPS; step++) {
+          entry.exchange.sendSome();
+        }
       }
     }
     for (Entry entry : entries) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportHistoryTest.java
@@ -142,7 +142,8 @@
       Members known = new Members(name, members);
       this.hubs = new HubSelector(() -> known, 4, clock);
       this.sender =
-          new WorkReportSender(loads, () -> known, hubs, availability::toTell, this::send);
+          new WorkReportSender(
+              loads, () -> known, hubs, availability::toTell, this::send, Long.MAX_VALUE);
     }
 
     private void send(String to, PeerMessage message) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
@@ -272,7 +272,8 @@
                 entries.stream()
                     .filter(e -> e.name.equals(to))
                     .forEach(e -> e.receive(name, report));
-              });
+              },
+              Long.MAX_VALUE);
     }
 
     private ServerNotices notices(long nowNanos) {
