Run periodic tasks of the traffic thread again after one has failed

Callers would see: stalled attempts are no longer found, and each request waits for the next reads, from the moment at which one periodic task has thrown. Cause: an event loop drops a task at a fixed rate that throws. Nothing was logged. Change: PeriodicTasks catches what a task throws and logs `periodic_task_failed`. Evidence: found in review; no task is known that throws. PeriodicTasksTest fails without the catch (one run where three are awaited) and passes with it.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -101,6 +101,7 @@
   private final CallerServer callerServer;
   private final ConnectionCloser connectionCloser;
   private final EventLoop eventLoop;
+  private final PeriodicTasks tasks;
   private final PeriodicChecks checks = new PeriodicChecks();
   private final InFlightRequests inFlight = new InFlightRequests();
   private final GracefulShutdown shutdown;
@@ -142,15 +143,14 @@
     this.startNanos = ticker.read();
     this.memory = newMemoryAccount(settings, log, metrics);
     this.eventLoop = transport.group().next();
+    this.tasks = new PeriodicTasks(eventLoop, log);
     EventLoopLag lag = new EventLoopLag(callerServer.listeningSinceNanos());
     PendingReadBarrier readBarrier = new PendingReadBarrier(eventLoop, lag, ticker);
     this.connectivity = new BackendConnectivity(this::probe, this::serversInService, ticker, log);
     this.pool = closer.register(newPool(transport, format, readBarrier));
     this.forwarding = closer.register(newForwarding(transport, format, readBarrier, peers));
     this.availability = newAvailability(log);
-    long link = settings.resources().linkBytesPerSecond();
-    this.workReportSender =
-        new WorkReportSender(loads, members, hubSelector, this::noticesToTell, peers::send, link);
+    this.workReportSender = newWorkReportSender(settings, hubSelector, peers);
     var versions =
         new VersionSelector(settings.sessionTimeout(), settings.exposureLimit(), rollouts);
     BackendSelector selector = newSelector(versions, settings);
@@ -205,6 +205,12 @@
     return new EntryForwarding(transport, format, readBarrier, members, peers, ticker);
   }
 
+  private WorkReportSender newWorkReportSender(
+      GatewaySettings settings, HubSelector hubs, PeerMessenger peers) {
+    long link = settings.resources().linkBytesPerSecond();
+    return new WorkReportSender(loads, members, hubs, this::noticesToTell, peers::send, link);
+  }
+
   private void serveGauges(
       GatewayMetrics metrics, EventLoopLag lag, Set<CallerConnection> connections) {
     metrics.gauge("event_loop_lag_ms", () -> lag.recent(ticker.read()).toMillis());
@@ -217,11 +223,6 @@
     metrics.gauge("caller_bytes_limit", memory::limitBytes);
   }
 
-  private void runEvery(Duration period, Runnable task) {
-    long millis = period.toMillis();
-    eventLoop.scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS);
-  }
-
   /** Starts to accept connections of callers and other entries; returns what ends them. */
   private ConnectionCloser accept(
       InetSocketAddress peerAddress, CallerConnectionDependencies dependencies) {
@@ -243,8 +244,8 @@
   }
 
   private void runPeriodicTasks(EventLoopLag lag) {
-    runEvery(CLEANUP_PERIOD, this::removeStaleState);
-    runEvery(WorkReportSender.PERIOD, () -> tick(lag));
+    tasks.runEvery(CLEANUP_PERIOD, this::removeStaleState);
+    tasks.runEvery(WorkReportSender.PERIOD, () -> tick(lag));
   }
 
   /** Sends the reports that are due once the events of this moment have been handled. */
@@ -318,7 +319,7 @@
         DemandSummary.class, (from, message) -> demand.onSummary(message, ticker.read()));
     SessionReporter sessions =
         new SessionReporter(versions, currentView, members, peers, ticker::read);
-    runEvery(SessionReporter.PERIOD, () -> sessions.tick(ticker.read()));
+    tasks.runEvery(SessionReporter.PERIOD, () -> sessions.tick(ticker.read()));
     suspects.onRead(read -> eventLoop.execute(() -> onSuspectsRead(read)));
   }
 
@@ -329,8 +330,8 @@
     peers.onMessage(
         MeasurementReport.class,
         (from, message) -> exchange.onReport(from.memberId(), message, ticker.read()));
-    runEvery(MeasurementExchange.PERIOD, () -> exchange.tick(ticker.read()));
-    runEvery(MeasurementExchange.STEP, exchange::sendSome);
+    tasks.runEvery(MeasurementExchange.PERIOD, () -> exchange.tick(ticker.read()));
+    tasks.runEvery(MeasurementExchange.STEP, exchange::sendSome);
   }
 
   private QueueingScheduler newScheduler(
