Don't take a slow link of the entry for the failure of backend servers

Cause: a connection that timed out within 300 ms counted against its server (ReachabilityChecker, SILENT) and against all servers of the service (BackendConnectivity), though all connections hung for a reason of the entry's own. Change: a silent server is unreachable only if a connection to another one came about, or one of up to three comes about now, or this entry is cut off from the service (ReachabilityProbe). ConnectFailureCheck is the part of it that EndedServerDetector had. A connection that timed out doesn't count towards cut off if bytes came from its data centre since it was begun; refused ones count as before. service_unreachable states timed_out and refused.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -46,6 +46,7 @@
   private final RelayFormat format;
   private final boolean answersNamed;
   private final BackendConnectionPool.ServerConnections serverConnections;
+  private final Runnable onReceived;
   private AnswerDecoder decoder;
   private ChannelHandlerContext context;
   private AttemptListener listener;
@@ -56,6 +57,7 @@
   private boolean requestSent;
   private boolean reusable = true;
   private boolean errored;
+  private boolean received;
   private boolean closed;
   private boolean reused;
   private long sentNanos;
@@ -65,13 +67,20 @@
 
   private Duration idleLimit = DEFAULT_IDLE_LIMIT;
 
+  /**
+   * Creates a connection that is not open yet.
+   *
+   * @param onReceived runs once for all that is read of an answer at a time
+   */
   BackendConnection(
       RelayFormat format,
       boolean answersNamed,
-      BackendConnectionPool.ServerConnections serverConnections) {
+      BackendConnectionPool.ServerConnections serverConnections,
+      Runnable onReceived) {
     this.format = format;
     this.answersNamed = answersNamed;
     this.serverConnections = serverConnections;
+    this.onReceived = onReceived;
   }
 
   /** Creates the decoder of the answers on this connection. */
@@ -139,6 +148,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
+    received = true;
     try {
       if (!(message instanceof HttpObject part) || part.decoderResult().isFailure()) {
         fail(AttemptFailure.UNUSABLE);
@@ -155,6 +165,15 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (received) {
+      received = false;
+      onReceived.run();
+    }
+    ctx.fireChannelReadComplete();
+  }
+
   private void onHead(HttpResponse head) {
     if (listener == null) {
       fail(AttemptFailure.UNUSABLE);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
@@ -55,7 +56,8 @@
   /**
    * Creates an empty pool.
    *
-   * @param connectListener is notified of the outcome of every connection before anybody else
+   * @param connectListener is notified of the outcome of every connection before anybody else, and
+   *     of what is received
    * @param answersNamed whether all answers name their requests; those of other entries don't
    */
   BackendConnectionPool(
@@ -102,7 +104,7 @@
     ServerConnections connections =
         connectionsByIncarnation.computeIfAbsent(
             server.incarnation(), i -> new ServerConnections());
-    BackendConnection connection = new BackendConnection(format, answersNamed, connections);
+    BackendConnection connection = newConnection(server, connections);
     connections.openCount++;
     open(server, connection)
         .addListener(
@@ -116,12 +118,17 @@
             });
   }
 
+  private BackendConnection newConnection(BackendServer server, ServerConnections connections) {
+    return new BackendConnection(
+        format, answersNamed, connections, () -> connectListener.onReceived(server));
+  }
+
   private Attempt connect(
       BackendServer server,
       ServerConnections connections,
       OutgoingRequest request,
       AttemptListener listener) {
-    BackendConnection connection = new BackendConnection(format, answersNamed, connections);
+    BackendConnection connection = newConnection(server, connections);
     connections.openCount++;
     ChannelFuture connecting = open(server, connection);
     request.body().retain();
@@ -169,6 +176,8 @@
             f -> {
               if (f.isSuccess()) {
                 connectListener.onConnected(server);
+              } else if (f.cause() instanceof ConnectTimeoutException) {
+                connectListener.onConnectTimedOut(server, begunNanos);
               } else if (!f.isCancelled()) {
                 connectListener.onConnectFailed(server, begunNanos);
               }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectivity.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectivity.java
@@ -23,7 +23,11 @@
  * <p>Handles entries that are partitioned from the backend servers while others reach them. As soon
  * as a connection fails and no other came about meanwhile, the servers of the service are probed at
  * once, so that requests don't find out one server after the other. While the entry is cut off, it
- * probes them again and again. Traffic thread only.
+ * probes them again and again.
+ *
+ * <p>Invariant: a connection that timed out doesn't count as failed if anything was received from
+ * its data centre since it was begun, as the link is slow then, not cut. One that was refused does,
+ * as open connections may outlive a partition. Traffic thread only.
  */
 final class BackendConnectivity implements ConnectListener, EndedServerDetector.Witnesses {
   /** How long a server counts as unreachable after a failed connection. */
@@ -39,8 +43,9 @@
   private final Function<String, List<BackendServer>> serversOf;
   private final Ticker ticker;
   private final EventLog log;
-  private final Map<String, Long> failedNanos = new HashMap<>();
+  private final Map<String, Failure> failures = new HashMap<>();
   private final Map<String, Service> services = new HashMap<>();
+  private final Map<String, DataCentre> dataCentres = new HashMap<>();
 
   /**
    * Creates an instance that takes all services for reachable.
@@ -88,7 +93,7 @@
 
   @Override
   public void onConnected(BackendServer server) {
-    failedNanos.remove(server.incarnation());
+    failures.remove(server.incarnation());
     Service state = state(server.service());
     state.connected = true;
     state.lastConnectedNanos = ticker.read();
@@ -101,22 +106,41 @@
     }
   }
 
+  @Override
+  public void onReceived(BackendServer server) {
+    dataCentre(server).onReceived(ticker.read());
+  }
+
   @Override
   public void onConnectFailed(BackendServer server, long begunNanos) {
-    long now = ticker.read();
-    failedNanos.put(server.incarnation(), now);
+    onFailure(server, new Failure(begunNanos, ticker.read(), false));
+  }
+
+  @Override
+  public void onConnectTimedOut(BackendServer server, long begunNanos) {
+    onFailure(server, new Failure(begunNanos, ticker.read(), true));
+  }
+
+  private void onFailure(BackendServer server, Failure failure) {
+    long now = failure.nanos();
+    failures.put(server.incarnation(), failure);
     Service state = state(server.service());
-    if (state.cutOff || state.connectedSince(begunNanos)) {
+    if (state.cutOff
+        || state.connectedSince(failure.begunNanos())
+        || isDueToSlowLink(server, failure)) {
       return;
     }
     List<BackendServer> servers = serversOf.apply(server.service());
-    long failed = servers.stream().filter(s -> hasFailed(s, state, now)).count();
-    if (failed >= Math.min(servers.size(), MAX_PROBES)) {
+    List<BackendServer> failed = servers.stream().filter(s -> hasFailed(s, state, now)).toList();
+    if (failed.size() >= Math.min(servers.size(), MAX_PROBES)) {
       state.cutOff = true;
+      long timedOut = failed.stream().filter(s -> failures.get(s.incarnation()).timedOut()).count();
       log.event("service_unreachable")
           .with("service", server.service())
           .with("backend_servers", servers.size())
-          .with("failed_connections", failed)
+          .with("failed_connections", failed.size())
+          .with("timed_out", timedOut)
+          .with("refused", failed.size() - timedOut)
           .write();
     } else if (state.mayProbe(now)) {
       probeSome(servers.stream().filter(s -> !hasFailed(s, state, now)).toList());
@@ -130,10 +154,19 @@
   }
 
   private boolean hasFailed(BackendServer server, Service state, long now) {
-    Long failed = failedNanos.get(server.incarnation());
-    return failed != null
-        && now - failed < FAILURE_VALIDITY.toNanos()
-        && !state.connectedSince(failed);
+    Failure failure = failures.get(server.incarnation());
+    return failure != null
+        && now - failure.nanos() < FAILURE_VALIDITY.toNanos()
+        && !state.connectedSince(failure.nanos())
+        && !isDueToSlowLink(server, failure);
+  }
+
+  private boolean isDueToSlowLink(BackendServer server, Failure failure) {
+    return failure.timedOut() && dataCentre(server).receivedSince(failure.begunNanos());
+  }
+
+  private DataCentre dataCentre(BackendServer server) {
+    return dataCentres.computeIfAbsent(server.dataCentre(), d -> new DataCentre());
   }
 
   private Service state(String service) {
@@ -153,7 +186,31 @@
 
   /** Removes the state of backend servers that no longer exist. */
   void retain(Set<String> incarnations) {
-    failedNanos.keySet().retainAll(new HashSet<>(incarnations));
+    failures.keySet().retainAll(new HashSet<>(incarnations));
+  }
+
+  /**
+   * A connection that did not come about. Immutable.
+   *
+   * @param begunNanos monotonic time at which it was begun
+   * @param nanos monotonic time at which it failed
+   * @param timedOut whether it was neither accepted nor refused
+   */
+  private record Failure(long begunNanos, long nanos, boolean timedOut) {}
+
+  /** What was received from the backend servers of one data centre. */
+  private static final class DataCentre {
+    private boolean received;
+    private long lastReceivedNanos;
+
+    void onReceived(long nanos) {
+      received = true;
+      lastReceivedNanos = nanos;
+    }
+
+    boolean receivedSince(long nanos) {
+      return received && lastReceivedNanos - nanos >= 0;
+    }
   }
 
   /** What is known of one service. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EndedServerDetector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EndedServerDetector.java
@@ -24,11 +24,8 @@
   /** How long the end of a server is not checked anew; one that was cut off may be back then. */
   private static final Duration RESULT_VALIDITY = Duration.ofSeconds(2);
 
-  /** Servers that are checked to see whether this entry is the one that is cut off. */
-  private static final int MAX_WITNESSES = 3;
-
   private final BiConsumer<BackendServer, Consumer<Boolean>> connect;
-  private final Witnesses witnesses;
+  private final ConnectFailureCheck failures;
   private final EndListener listener;
   private final Ticker ticker;
   private final Map<String, Check> checks = new HashMap<>();
@@ -59,7 +56,7 @@
       EndListener listener,
       Ticker ticker) {
     this.connect = connect;
-    this.witnesses = witnesses;
+    this.failures = new ConnectFailureCheck(connect, witnesses);
     this.listener = listener;
     this.ticker = ticker;
   }
@@ -89,24 +86,10 @@
   }
 
   private void onChecked(BackendServer server, Check check, boolean reachable) {
-    if (reachable || witnesses.connectedSince(check.begunNanos)) {
-      conclude(server, check, !reachable);
-      return;
-    }
-    List<BackendServer> others =
-        witnesses.othersThan(server).stream().limit(MAX_WITNESSES).toList();
-    if (others.isEmpty()) {
-      conclude(server, check, true);
-      return;
-    }
-    check.openWitnesses = others.size();
-    others.forEach(w -> connect.accept(w, answered -> onWitness(server, check, answered)));
-  }
-
-  private void onWitness(BackendServer server, Check check, boolean answered) {
-    check.openWitnesses--;
-    if (check.inProgress && (answered || check.openWitnesses == 0)) {
-      conclude(server, check, answered);
+    if (reachable) {
+      conclude(server, check, false);
+    } else {
+      failures.check(server, check.begunNanos, ended -> conclude(server, check, ended));
     }
   }
 
@@ -132,7 +115,6 @@
     private final List<Consumer<Boolean>> results = new ArrayList<>();
     private final long begunNanos;
     private boolean inProgress = true;
-    private int openWitnesses;
     private boolean ended;
     private long doneNanos;
 
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ReachabilityChecker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ReachabilityChecker.java
@@ -9,8 +9,7 @@
 import org.guavagw.gateway.model.BackendServer;
 
 /**
- * Checks whether silent backend servers can be reached, by opening a connection. Traffic thread
- * only.
+ * Checks whether silent backend servers can be reached. Traffic thread only.
  *
  * <p>Invariant: at most one check of a backend server is in progress, and its result is reused for
  * a while.
@@ -19,16 +18,16 @@
   /** How long the result of a check is reused. */
   private static final Duration RESULT_VALIDITY = Duration.ofMillis(600);
 
-  private final BiConsumer<BackendServer, Consumer<Boolean>> connect;
+  private final BiConsumer<BackendServer, Consumer<Boolean>> check;
   private final Map<String, Check> checks = new HashMap<>();
 
   /**
    * Creates a checker.
    *
-   * @param connect opens a connection and reports whether it was established
+   * @param check finds out whether a server can be reached
    */
-  ReachabilityChecker(BiConsumer<BackendServer, Consumer<Boolean>> connect) {
-    this.connect = connect;
+  ReachabilityChecker(BiConsumer<BackendServer, Consumer<Boolean>> check) {
+    this.check = check;
   }
 
   /**
@@ -44,7 +43,7 @@
     Check next = new Check();
     next.unreachable = last != null && last.unreachable;
     checks.put(server.incarnation(), next);
-    connect.accept(
+    check.accept(
         server,
         reachable -> {
           next.inProgress = false;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -152,7 +152,7 @@
     var versions =
         new VersionSelector(settings.sessionTimeout(), settings.exposureLimit(), rollouts);
     BackendSelector selector = newSelector(versions, settings);
-    this.reachability = new ReachabilityChecker(pool::checkReachable);
+    this.reachability = newReachabilityChecker();
     this.crashGuard = newCrashGuard(log);
     this.suspects = suspects;
     this.scheduler = newScheduler(settings, log, metrics);
@@ -360,6 +360,12 @@
         log);
   }
 
+  private ReachabilityChecker newReachabilityChecker() {
+    var probe =
+        new ReachabilityProbe(pool::checkReachable, connectivity, connectivity::isCutOff, ticker);
+    return new ReachabilityChecker(probe::check);
+  }
+
   private BackendSelector newSelector(VersionSelector versions, GatewaySettings settings) {
     var placer =
         new RequestPlacer(
