Forget long past results of reachability checks

Callers would see: the stream of a sound server is cancelled after 400 ms of silence, as the server once couldn't be reached. Cause: while a server is checked anew, the result of the check before counted, however old it was. Change: it counts for twice the time for which a result is reused. Evidence: found in review. ReachabilityCheckerTest, with a result that is ten seconds old, fails without the change and passes. SlowLinkTest, ReachabilityProbeTest, BackendConnectivityTest and EndedServerDetectorTest pass.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ReachabilityChecker.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ReachabilityChecker.java
@@ -41,7 +41,7 @@
       return last.unreachable;
     }
     Check next = new Check();
-    next.unreachable = last != null && last.unreachable;
+    next.unreachable = last != null && last.isUnreachableUntilCheckedAnew(nowNanos);
     checks.put(server.incarnation(), next);
     check.accept(
         server,
@@ -63,5 +63,10 @@
     private boolean inProgress = true;
     private boolean unreachable;
     private long startedNanos;
+
+    /** Returns whether the server was unreachable so recently that it is likely to be so still. */
+    boolean isUnreachableUntilCheckedAnew(long nowNanos) {
+      return unreachable && nowNanos - startedNanos < 2 * RESULT_VALIDITY.toNanos();
+    }
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -154,7 +154,7 @@
     var versions =
         new VersionSelector(settings.sessionTimeout(), settings.exposureLimit(), rollouts);
     BackendSelector selector = newSelector(versions, settings);
-    this.reachability = newReachabilityChecker();
+    this.reachability = new ReachabilityChecker(newReachabilityProbe()::check);
     this.crashGuard = newCrashGuard(log);
     this.suspects = suspects;
     this.scheduler = newScheduler(settings, log, metrics);
@@ -377,10 +377,9 @@
         log);
   }
 
-  private ReachabilityChecker newReachabilityChecker() {
-    var probe =
-        new ReachabilityProbe(pool::checkReachable, connectivity, connectivity::isCutOff, ticker);
-    return new ReachabilityChecker(probe::check);
+  private ReachabilityProbe newReachabilityProbe() {
+    return new ReachabilityProbe(
+        pool::checkReachable, connectivity, connectivity::isCutOff, ticker);
   }
 
   private BackendSelector newSelector(VersionSelector versions, GatewaySettings settings) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/ReachabilityCheckerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/ReachabilityCheckerTest.java
@@ -39,4 +39,12 @@
     assertThat(checker.isUnreachable(server, Duration.ofSeconds(2).toNanos())).isFalse();
     assertThat(checks).hasSize(2);
   }
+
+  @Test
+  void shouldNotTakeAServerForUnreachableByAResultOfLongAgo() {
+    assertThat(checker.isUnreachable(server, 0)).isFalse();
+    checks.get(0).accept(false);
+
+    assertThat(checker.isUnreachable(server, Duration.ofSeconds(10).toNanos())).isFalse();
+  }
 }
