Pace a hub's rows by the link that the settings state

Cause: the pace was a constant that fits one size of link; a deployment with faster links was paced for nothing, one with slower ones too fast. And a query whose hold time ended while its answer was held back was answered only with the next check of the orders, if the answer's only rows were those of a newer configuration. Change: HubTiming knows the link of the entry, of which rows take half for a short time; without a stated link nothing is held back. The next period also answers queries that are held back. The second case was found in review and has no test of its own.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/Gateway.java
@@ -77,7 +77,7 @@
     MemberTable members =
         new MemberTable(self(), store, format, controlLoop, log, peers::onMembers);
     SuspectTable suspects = new SuspectTable(self(), store, format, controlLoop, log);
-    HubTiming hubTiming = HubTiming.within(settings.configLimit());
+    HubTiming hubTiming = hubTiming();
     HubSelector hubs =
         new HubSelector(members::reachable, hubTiming.minMembers(), settings.region(), ticker);
     RolloutManager rollouts =
@@ -119,6 +119,11 @@
     start(peers, plane, rollouts);
   }
 
+  private HubTiming hubTiming() {
+    return HubTiming.within(settings.configLimit())
+        .onLink(settings.resources().linkBytesPerSecond());
+  }
+
   private static ControlStore openStore(
       GatewayAdapter adapter, Transport control, EventLoop controlLoop, GatewayMetrics metrics) {
     return new CountingStore(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/ReplicaServer.java
@@ -43,9 +43,6 @@
 
   private static final Duration SEND_PERIOD = Duration.ofMillis(50);
 
-  /** About half of what a link of 7 Mbit/s carries in a period; the rest is for requests. */
-  private static final int BYTES_PER_PERIOD = 20_000;
-
   /** A follower leaves its hub if an answer comes 400 ms after the hold time. */
   private static final Duration MAX_DELAY = Duration.ofMillis(250);
 
@@ -60,7 +57,7 @@
   private final ScheduledExecutorService control;
   private final Clocks clocks;
   private final AnswerCompressor compressor = new AnswerCompressor();
-  private final SendBudget budget = new SendBudget(BYTES_PER_PERIOD, SEND_PERIOD);
+  private final SendBudget budget;
   private final List<PendingQuery> pendingQueries = new ArrayList<>();
   private final Map<String, Long> lastQueryNanos = new HashMap<>();
   private boolean nextPeriodScheduled;
@@ -84,6 +81,7 @@
       Clocks clocks) {
     this.replicas = replicas;
     this.timing = timing;
+    this.budget = new SendBudget(timing.rowBytesIn(SEND_PERIOD), SEND_PERIOD);
     this.orders = orders;
     this.health = health;
     this.lapsesExpected = lapsesExpected;
@@ -137,7 +135,7 @@
   /** Answers the pending queries for which there is an update now, as far as the budget allows. */
   void onReplicaChanged() {
     List<PendingQuery> updated = new ArrayList<>(pendingQueries);
-    updated.removeIf(pending -> !hasUpdate(pending));
+    updated.removeIf(pending -> !pending.isHeldBack() && !hasUpdate(pending));
     Collections.shuffle(updated, ThreadLocalRandom.current());
     updated.forEach(this::completeUnlessHeldBack);
   }
@@ -260,6 +258,10 @@
       this.arrivedAt = arrivedAt;
     }
 
+    boolean isHeldBack() {
+      return heldBackNanos.isPresent();
+    }
+
     /** Returns when its answer was held back first, which is now if it was not before. */
     long heldBackSince(long nowNanos) {
       if (heldBackNanos.isEmpty()) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/SendBudget.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/control/SendBudget.java
@@ -37,7 +37,8 @@
       return;
     }
     long periods = (nowNanos - periodStartNanos) / periodNanos;
-    spentBytes = Math.max(0, spentBytes - periods * bytesPerPeriod);
+    boolean paid = periods > spentBytes / bytesPerPeriod;
+    spentBytes -= paid ? spentBytes : periods * bytesPerPeriod;
     periodStartNanos += periods * periodNanos;
   }
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubLinkTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/HubLinkTest.java
@@ -17,7 +17,6 @@
   private static final int ROUTES = 50;
   private static final int TEAMS = 24;
   private static final int KEY_BYTES = 16;
-  private static final int LINK_BYTES_PER_SECOND = 7_000_000 / 8;
   private static final Duration CONFIG_LIMIT = Duration.ofSeconds(2);
 
   /** A third of the time in which a connection to a backend server must be made. */
@@ -25,7 +24,8 @@
 
   private final Random random = new Random(1);
   private final SimulatedDeployment deployment = new SimulatedDeployment(ENTRIES, CONFIG_LIMIT);
-  private final SimulatedLinks links = deployment.measureLinks(LINK_BYTES_PER_SECOND);
+  private final SimulatedLinks links =
+      deployment.measureLinks(SimulatedDeployment.LINK_BYTES_PER_SECOND);
 
   @AfterEach
   void close() {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/ReplicaServerTest.java
@@ -26,7 +26,9 @@
 class ReplicaServerTest {
   private static final String TABLE = "orders";
   private static final String FOLLOWER = "entry-1";
-  private static final HubTiming TIMING = HubTiming.within(Duration.ofSeconds(2));
+  private static final long LINK_BYTES_PER_SECOND = 800_000;
+  private static final HubTiming TIMING =
+      HubTiming.within(Duration.ofSeconds(2)).onLink(LINK_BYTES_PER_SECOND);
   private static final Duration HOLD_TIME = TIMING.holdTime();
   private static final Duration SEND_PERIOD = Duration.ofMillis(50);
   private static final Duration MAX_DELAY = Duration.ofMillis(250);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SimulatedDeployment.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/control/SimulatedDeployment.java
@@ -31,6 +31,9 @@
  * thread-safe.
  */
 final class SimulatedDeployment implements AutoCloseable {
+  /** The slowest link that a VM has. */
+  static final long LINK_BYTES_PER_SECOND = 7_000_000 / 8;
+
   private static final Duration STEP = Duration.ofMillis(10);
   private static final Duration HOP = Duration.ofMillis(2);
   private static final Set<String> REGION = Set.of("dc0", "dc1", "dc2", "dc3");
@@ -41,6 +44,7 @@
       new EventLog("test", InstantSource.system(), new PrintStream(PrintStream.nullOutputStream()));
   private final Map<String, Entry> entries = new LinkedHashMap<>();
   private final Duration configLimit;
+
   private final Map<String, Integer> callsByCause = new TreeMap<>();
   private final Set<String> withoutPeers = new HashSet<>();
   private String cutOffDataCentre = "";
@@ -65,7 +69,7 @@
   }
 
   private Entry add(Member self) {
-    Entry entry = new Entry(self, HubTiming.within(configLimit));
+    Entry entry = new Entry(self, HubTiming.within(configLimit).onLink(LINK_BYTES_PER_SECOND));
     entries.put(self.name(), entry);
     return entry;
   }
