Wait until a stopped stand-in refuses connections

Cause: the server's stop returns before its event loops have closed the listener. In a trial of 100 stops each, 7 were still connected to after the stop with the epoll transport and 3 with NIO, mostly for 1 to 6 ms. A stand-in that "is down" could so take a request.

Change: LoopbackServer.stop returns once a connection is refused, within five seconds.

--- a/guavagw-standins/src/main/java/org/guavagw/standins/http/LoopbackServer.java
+++ b/guavagw-standins/src/main/java/org/guavagw/standins/http/LoopbackServer.java
@@ -12,6 +12,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.StandardSocketOptions;
+import java.time.Duration;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 
 /**
@@ -26,6 +28,8 @@
 public final class LoopbackServer implements AutoCloseable {
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String HOST = "127.0.0.1";
+  private static final Duration STOP_LIMIT = Duration.ofSeconds(5);
+  private static final Duration STOP_POLL = Duration.ofMillis(1);
   private static final int MAX_REQUEST_BYTES = 16 * 1024 * 1024;
 
   private final Consumer<Jooby> routes;
@@ -63,13 +67,19 @@
     }
   }
 
-  /** Closes the listener and every connection, and keeps the port. */
+  /**
+   * Closes the listener and every connection, and keeps the port. Connections are refused when this
+   * returns.
+   *
+   * @throws IllegalStateException if connections are still accepted after five seconds
+   */
   public synchronized void stop() {
     if (server == null) {
       return;
     }
     server.stop();
     server = null;
+    awaitRefusal();
   }
 
   @Override
@@ -83,6 +93,25 @@
     return new NettyServer().setOptions(options()).start(app);
   }
 
+  // The server's own stop doesn't wait for its event loops to close the listener.
+  private void awaitRefusal() {
+    long start = System.nanoTime();
+    while (accepts()) {
+      if (System.nanoTime() - start > STOP_LIMIT.toNanos()) {
+        throw new IllegalStateException("port " + port + " still accepts connections");
+      }
+      LockSupport.parkNanos(STOP_POLL.toNanos());
+    }
+  }
+
+  private boolean accepts() {
+    try (Socket connection = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      return connection.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   private void releasePort() {
     try {
       reservation.close();
--- a/guavagw-standins/src/test/java/org/guavagw/standins/http/LoopbackServerTest.java
+++ b/guavagw-standins/src/test/java/org/guavagw/standins/http/LoopbackServerTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 
 class LoopbackServerTest {
@@ -30,4 +31,14 @@
       }
     }
   }
+
+  @RepeatedTest(50)
+  void shouldRefuseConnectionsOnceItHasStopped() {
+    try (LoopbackServer server =
+        new LoopbackServer(ExecutionMode.EVENT_LOOP, 1, app -> app.get("/", ctx -> ""))) {
+      server.stop();
+      assertThatThrownBy(() -> new Socket(LOOPBACK, server.port()).close())
+          .isInstanceOf(ConnectException.class);
+    }
+  }
 }
