Don't take an entry's own lag for the silence of backend servers

A request whose answer waits in the socket is sent again, and its answer is thrown away.

Cause: the checks of waiting attempts run after the reads of a round of the event loop, and count silence up to now. What came during a long round is not read yet and counts as silence. A stream is checked after 400 ms, and given up if a new connection to its server fails while one to another server comes about; a request is late after 350 ms. The reachability check doesn't help where new connections fail for another reason, such as a busy server.

Change: silence counts up to the time until which the sockets are known to have been read, which is now but for the lag of late. Without a lag nothing changes. After a lag servers that are really silent are found later, by the lag and for half a second at most. PeriodicChecksTest passes the new argument; its assertions are the same.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/AttemptProgress.java
@@ -143,11 +143,17 @@
     loads.onEnded(server, prefill, (nowNanos - sentNanos) / NANOS_PER_MILLI);
   }
 
-  StalledAttemptPolicy.Observation observe(long nowNanos, long deadlineNanos) {
+  /**
+   * Returns what is observed now.
+   *
+   * @param readUntilNanos what came after this monotonic time may not have been read yet, so that
+   *     it doesn't count as silence
+   */
+  StalledAttemptPolicy.Observation observe(long readUntilNanos, long nowNanos, long deadlineNanos) {
     return new StalledAttemptPolicy.Observation(
         answerStarted,
-        Duration.ofNanos(nowNanos - lastReceivedNanos),
-        loads.timeSinceLastReceived(server, nowNanos),
+        Duration.ofNanos(readUntilNanos - lastReceivedNanos),
+        loads.timeSinceLastReceived(server, readUntilNanos),
         loads.hasAnsweredLaterAttempt(server, sentNanos),
         estimate,
         Duration.ofNanos(nowNanos - sentNanos),
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EventLoopLag.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EventLoopLag.java
@@ -46,6 +46,11 @@
     return Duration.ofNanos(Math.max(remembered, overdueNanos(nowNanos)));
   }
 
+  /** Returns a time, to within {@link #PERIOD}; what came before it has been read by now. */
+  long readUntil(long nowNanos) {
+    return nowNanos - recent(nowNanos).toNanos();
+  }
+
   private long overdueNanos(long nowNanos) {
     return Math.max(0, nowNanos - lastTickNanos - PERIOD.toNanos());
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/PeriodicChecks.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/PeriodicChecks.java
@@ -16,16 +16,24 @@
     checks.add(check);
   }
 
-  /** Runs all checks. A check may add others, which are run the next time. */
-  void run() {
+  /**
+   * Runs all checks. A check may add others, which are run the next time.
+   *
+   * @param readUntilNanos what came after this monotonic time may not have been read yet
+   */
+  void run(long readUntilNanos) {
     List<Check> due = List.copyOf(checks);
-    due.stream().filter(check -> !check.isNeededAgain()).forEach(checks::remove);
+    due.stream().filter(check -> !check.isNeededAgain(readUntilNanos)).forEach(checks::remove);
   }
 
   /** Something that is checked until it is over. */
   @FunctionalInterface
   interface Check {
-    /** Checks now and returns whether to check again. */
-    boolean isNeededAgain();
+    /**
+     * Checks now and returns whether to check again.
+     *
+     * @param readUntilNanos what came after this monotonic time may not have been read yet
+     */
+    boolean isNeededAgain(long readUntilNanos);
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -279,7 +279,7 @@
     connectivity.tick();
     forwarding.report(connectivity.cutOffServices());
     sendWorkReports();
-    checks.run();
+    checks.run(lag.readUntil(ticker.read()));
     demand.tick(ticker.read());
     pollScheduler();
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
@@ -26,11 +26,11 @@
    */
   void watch(int attemptNumber) {
     if (request.route().safeToRetry()) {
-      shared.checks().add(() -> isStillWatched(attemptNumber));
+      shared.checks().add(readUntil -> isStillWatched(attemptNumber, readUntil));
     }
   }
 
-  private boolean isStillWatched(int attemptNumber) {
+  private boolean isStillWatched(int attemptNumber, long readUntil) {
     Optional<AttemptProgress> progress = exchange.inFlightAttempt(attemptNumber);
     if (progress.isEmpty()) {
       return false;
@@ -41,7 +41,7 @@
       return false;
     }
     exchange.reportIfVerySlow(now);
-    Optional<AttemptFailure> reason = cancellationReason(progress.get(), now);
+    Optional<AttemptFailure> reason = cancellationReason(progress.get(), readUntil, now);
     // If no retry is possible, the current attempt still has the best chance.
     if (reason.isPresent() && exchange.retryTarget(now).isPresent()) {
       exchange.cancelAttempt(reason.get());
@@ -50,8 +50,10 @@
     return true;
   }
 
-  private Optional<AttemptFailure> cancellationReason(AttemptProgress progress, long now) {
-    StalledAttemptPolicy.Observation observation = progress.observe(now, exchange.deadlineNanos());
+  private Optional<AttemptFailure> cancellationReason(
+      AttemptProgress progress, long readUntil, long now) {
+    StalledAttemptPolicy.Observation observation =
+        progress.observe(readUntil, now, exchange.deadlineNanos());
     return switch (StalledAttemptPolicy.evaluate(
         request.route(), request.caller().promptTokens(), observation)) {
       case WAIT -> Optional.empty();
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicChecksTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicChecksTest.java
@@ -13,13 +13,13 @@
   @Test
   void shouldRunEachCheckUntilItIsOver() {
     checks.add(
-        () -> {
+        readUntil -> {
           run.add("first");
           return run.size() < 3;
         });
 
     for (int i = 0; i < 5; i++) {
-      checks.run();
+      checks.run(0);
     }
 
     assertThat(run).hasSize(3);
@@ -28,15 +28,15 @@
   @Test
   void shouldRunACheckThatAnotherOneAddsTheNextTime() {
     checks.add(
-        () -> {
-          checks.add(() -> !run.add("added"));
+        readUntil -> {
+          checks.add(r -> !run.add("added"));
           return false;
         });
 
-    checks.run();
+    checks.run(0);
     assertThat(run).isEmpty();
 
-    checks.run();
+    checks.run(0);
     assertThat(run).containsExactly("added");
   }
 }
