Don't time a connection out that came about during a lag

What callers see: at an entry whose event loop is behind, requests fail over from sound backend servers and other entries, and these are avoided for a while, as connections to them count as unreachable.

A connection takes a way there and back, so that the select of the next round doesn't show it yet. If the reads of that round take longer than the rest of the 300 ms, the transport's timeout runs before the loop looks at its sockets again.

Change: ConnectTimeout takes the place of the transport's own timeout and lets the loop look at its sockets once more after the time has passed.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
@@ -6,7 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
@@ -34,7 +34,10 @@
   /**
    * Many round trips, but short enough to use another server before a lost packet is retransmitted.
    */
-  private static final int CONNECT_TIMEOUT_MILLIS = 300;
+  private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+
+  /** The value that turns the transport's own timeout off. */
+  private static final int NO_TIMEOUT = 0;
 
   /** Shorter than the idle timeout of most backend servers. */
   private static final Duration MAX_IDLE_TIME = Duration.ofSeconds(4);
@@ -46,6 +49,7 @@
           .setMaxChunkSize(65_536);
 
   private final Bootstrap bootstrap;
+  private final EventLoop eventLoop;
   private final RelayFormat format;
   private final PendingReadBarrier readBarrier;
   private final ConnectListener connectListener;
@@ -73,9 +77,8 @@
     this.connectListener = connectListener;
     this.ticker = ticker;
     this.bootstrap =
-        transport
-            .clientBootstrap()
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+        transport.clientBootstrap().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_TIMEOUT);
+    this.eventLoop = transport.group().next();
   }
 
   /** Sends a request. The listener receives the outcome, possibly before this method returns. */
@@ -171,17 +174,19 @@
 
   private ChannelFuture open(BackendServer server, BackendConnection connection) {
     long begunNanos = ticker.read();
-    return connectTo(server, connection)
-        .addListener(
-            f -> {
-              if (f.isSuccess()) {
-                connectListener.onConnected(server);
-              } else if (f.cause() instanceof ConnectTimeoutException) {
-                connectListener.onConnectTimedOut(server, begunNanos);
-              } else if (!f.isCancelled()) {
-                connectListener.onConnectFailed(server, begunNanos);
-              }
-            });
+    ChannelFuture connecting = connectTo(server, connection);
+    ConnectTimeout timeout =
+        ConnectTimeout.start(connecting, CONNECT_TIMEOUT, eventLoop, readBarrier);
+    return connecting.addListener(
+        f -> {
+          if (f.isSuccess()) {
+            connectListener.onConnected(server);
+          } else if (timeout.hasPassed()) {
+            connectListener.onConnectTimedOut(server, begunNanos);
+          } else if (!f.isCancelled()) {
+            connectListener.onConnectFailed(server, begunNanos);
+          }
+        });
   }
 
   private ChannelFuture connectTo(BackendServer server, BackendConnection connection) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendConnectionPoolTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendConnectionPoolTest.java
@@ -3,8 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.common.base.Ticker;
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -26,6 +30,10 @@
 /** Sends requests on new connections while the event loop lags. */
 class BackendConnectionPoolTest {
   private static final int READ_TIMEOUT_MILLIS = 300;
+  private static final Duration BEFORE_LAG = Duration.ofMillis(200);
+
+  /** Longer than it takes the system to repeat a connection that found no room. */
+  private static final Duration LAG = Duration.ofMillis(1500);
 
   private final Transport transport = new Transport("test");
   private final Ticker ticker = Ticker.systemTicker();
@@ -83,6 +91,31 @@
     }
   }
 
+  @Test
+  void shouldNotTimeOutAConnectionThatCameAboutDuringALag() throws Exception {
+    ChannelFuture reader =
+        transport
+            .clientBootstrap()
+            .handler(new SlowReader())
+            .connect(server.getLocalSocketAddress());
+    Socket read = server.accept();
+    reader.sync();
+    server.close();
+    server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    try (Socket first = new Socket();
+        Socket second = new Socket()) {
+      first.connect(server.getLocalSocketAddress());
+      second.connect(server.getLocalSocketAddress());
+      send(false);
+      Thread.sleep(BEFORE_LAG.toMillis());
+      read.close();
+      server.accept().close();
+      server.accept().close();
+
+      assertThat(failure.get(5, TimeUnit.SECONDS)).isEqualTo(AttemptFailure.WITHDRAWN);
+    }
+  }
+
   private void send(boolean wanted) {
     BackendServer sample = Samples.server("w1", "here", "v1");
     BackendServer target =
@@ -109,6 +142,14 @@
     transport.group().execute(() -> pool.send(target, 4, request, new FailureListener()));
   }
 
+  /** Keeps the event loop busy while it reads the end of a connection. */
+  private static final class SlowReader extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      Uninterruptibles.sleepUninterruptibly(LAG);
+    }
+  }
+
   /** Keeps the failure of the attempt. */
   private final class FailureListener implements AttemptListener {
     @Override
