Keep to a request limit when its backend server is started anew

Cause: ServerRateLimits kept limits by incarnation. A server that was started anew, still in need, had a new one, so that each entry sent without a limit until its first answer came, and began its spacing anew.

Change: limits are kept by the id of the server. What an entry knows, its spacing, and what others tell it, hold for the next start until that answers; late answers of the start before are ignored then. The notices between entries are unchanged. Where the next start states no limit, each entry learns so with its next request, as of any limit that is lifted; with few requests a second that takes as long as it does there.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerRateLimits.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerRateLimits.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.ToDoubleBiFunction;
+import java.util.stream.Collectors;
 import org.guavagw.gateway.model.BackendServer;
 
 /**
@@ -16,7 +17,8 @@
  * <p>Protects a backend server in need, which states the rate that it takes from all entries
  * together. Each entry with a share spaces its requests evenly, so all together stay within the
  * rate without asking one another; entries without one, among many, learn from the others for how
- * long the server states a rate. Not thread-safe.
+ * long the server states a rate. A rate belongs to a server rather than to one start of it: a
+ * server that is started anew is still kept from more until it answers. Not thread-safe.
  */
 public final class ServerRateLimits {
   /** How long a rate that another entry told of holds; it is told again several times meanwhile. */
@@ -38,7 +40,7 @@
 
   private final ToDoubleBiFunction<BackendServer, Double> share;
   private final DoubleSupplier random;
-  private final Map<String, Limit> limits = new HashMap<>();
+  private final Map<String, Limit> limitById = new HashMap<>();
 
   /**
    * Creates a policy without limits.
@@ -52,17 +54,17 @@
   }
 
   /**
-   * Records what an answer of a backend server states; returns whether that is another rate than
-   * before.
+   * Records what an answer of a backend server states, unless it was started anew since; returns
+   * whether that is another rate than before.
    */
   boolean onStatement(BackendServer server, OptionalDouble perSecond, long nowNanos) {
-    Limit limit = limits.get(server.incarnation());
-    if (limit == null && perSecond.isEmpty()) {
+    Limit limit = limitById.get(server.id());
+    if (limit == null ? perSecond.isEmpty() : limit.isOfLaterStart(server)) {
       return false;
     }
     if (limit == null) {
       limit = new Limit();
-      limits.put(server.incarnation(), limit);
+      limitById.put(server.id(), limit);
     }
     boolean changed = !limit.stated.equals(perSecond);
     limit.server = server;
@@ -76,7 +78,8 @@
 
   /** Records a rate that a backend server stated to another entry. */
   void onReport(String incarnation, double perSecond, long nowNanos) {
-    Limit limit = limits.computeIfAbsent(incarnation, i -> new Limit());
+    Limit limit =
+        limitById.computeIfAbsent(BackendServer.idOfIncarnation(incarnation), i -> new Limit());
     limit.told = perSecond;
     limit.toldNanos = nowNanos;
     limit.everTold = true;
@@ -87,16 +90,15 @@
    * only while the statement is new, as this entry would not notice that the rate is lifted.
    */
   Map<String, Double> toTell(long nowNanos) {
-    if (limits.isEmpty()) {
+    if (limitById.isEmpty()) {
       return Map.of();
     }
     Map<String, Double> told = new HashMap<>();
-    limits.forEach(
-        (incarnation, limit) -> {
-          if (limit.stated.isPresent() && isKept(limit, limit.server, nowNanos)) {
-            told.put(incarnation, limit.stated.getAsDouble());
-          }
-        });
+    for (Limit limit : limitById.values()) {
+      if (limit.stated.isPresent() && isKept(limit, limit.server, nowNanos)) {
+        told.put(limit.server.incarnation(), limit.stated.getAsDouble());
+      }
+    }
     return told;
   }
 
@@ -107,7 +109,7 @@
 
   /** Returns the time until a request may be sent; zero if one may be sent now. */
   Duration untilNext(BackendServer server, long nowNanos) {
-    Limit limit = limits.get(server.incarnation());
+    Limit limit = limitById.get(server.id());
     Optional<Double> perSecond = inForce(limit, server, nowNanos);
     if (perSecond.isEmpty()) {
       return Duration.ZERO;
@@ -119,7 +121,7 @@
 
   /** Records that a request is sent now. */
   void onSent(BackendServer server, long nowNanos) {
-    Limit limit = limits.get(server.incarnation());
+    Limit limit = limitById.get(server.id());
     inForce(limit, server, nowNanos)
         .ifPresent(perSecond -> limit.nextNanos = nowNanos + gapNanos(server, perSecond));
   }
@@ -156,12 +158,16 @@
 
   /** Removes the limits of backend servers that are gone. */
   void retain(Set<String> incarnations) {
-    limits.keySet().retainAll(incarnations);
+    Set<String> ids =
+        incarnations.stream().map(BackendServer::idOfIncarnation).collect(Collectors.toSet());
+    limitById.keySet().retainAll(ids);
   }
 
   /** What is known of the rate of one backend server, and when the next request may be sent. */
   private static final class Limit {
+    /** The server as it was started when it last answered; null if it was only told of. */
     private BackendServer server;
+
     private OptionalDouble stated = OptionalDouble.empty();
     private long statedNanos;
     private double told;
@@ -169,6 +175,10 @@
     private boolean everTold;
     private long nextNanos;
 
+    boolean isOfLaterStart(BackendServer answering) {
+      return server != null && server.startedMillis() > answering.startedMillis();
+    }
+
     /** Begins at a random moment within the gap, so that entries don't send at once. */
     void restart(long gapNanos, double random, long nowNanos) {
       nextNanos = nowNanos + (long) (gapNanos * random);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/model/BackendServer.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/model/BackendServer.java
@@ -101,6 +101,11 @@
     return incarnation;
   }
 
+  /** Returns the id of the backend server that an incarnation is one of. */
+  public static String idOfIncarnation(String incarnation) {
+    return incarnation.substring(0, Math.max(0, incarnation.lastIndexOf('@')));
+  }
+
   /** Returns this backend server as one that gets no new requests. */
   public BackendServer asDraining() {
     return new BackendServer(
