Run the other periodic checks when one fails

If the check of one waiting attempt fails, those of the others aren't run, and requests that wait aren't placed by that tick, until the attempt ends; and the review of rollouts would never run again.

Cause: a task that throws ends what runs beside it, the class that PeriodicTasks was made for. PeriodicChecks and RolloutManager were left out.

Change: PeriodicChecks runs all checks, keeps the one that fails, and throws its exception at the end; PeriodicTasks, now in a package of its own, logs it. The checks are the last part of the tick. RolloutManager uses PeriodicTasks.

Evidence: the new test of PeriodicChecksTest failed before (the other check hadn't run) and holds now; the review of rollouts has no test of its own.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/PeriodicChecks.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/PeriodicChecks.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -17,13 +18,27 @@
   }
 
   /**
-   * Runs all checks. A check may add others, which are run the next time.
+   * Runs all checks. A check may add others, which are run the next time. One that fails is run
+   * again, too.
    *
    * @param readUntilNanos what came after this monotonic time may not have been read yet
+   * @throws RuntimeException that of the first check that failed, once all have been run
    */
   void run(long readUntilNanos) {
-    List<Check> due = List.copyOf(checks);
-    due.stream().filter(check -> !check.isNeededAgain(readUntilNanos)).forEach(checks::remove);
+    Optional<RuntimeException> firstFailure = Optional.empty();
+    for (Check check : List.copyOf(checks)) {
+      try {
+        if (!check.isNeededAgain(readUntilNanos)) {
+          checks.remove(check);
+        }
+      } catch (RuntimeException e) {
+        firstFailure = firstFailure.or(() -> Optional.of(e));
+      }
+    }
+    firstFailure.ifPresent(
+        e -> {
+          throw e;
+        });
   }
 
   /** Something that is checked until it is over. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -50,10 +50,10 @@
 import org.guavagw.gateway.internal.placement.WorkReportReceiver;
 import org.guavagw.gateway.internal.placement.WorkReportSender;
 import org.guavagw.gateway.internal.quarantine.SuspectStore;
-import org.guavagw.gateway.internal.quarantine.TimedSuspect;
 import org.guavagw.gateway.internal.rollout.RolloutManager;
 import org.guavagw.gateway.internal.rollout.SessionReporter;
 import org.guavagw.gateway.internal.rollout.VersionSelector;
+import org.guavagw.gateway.internal.scheduling.PeriodicTasks;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.RelayFormat;
 import org.guavagw.internal.lifecycle.Closer;
@@ -270,18 +270,14 @@
     crashGuard.quarantine().onNotices(notices.quarantine(), nowNanos);
   }
 
-  private void onSuspectsRead(List<TimedSuspect> read) {
-    crashGuard.quarantine().onRead(read, ticker.read());
-  }
-
   private void tick(EventLoopLag lag) {
     lag.tick(ticker.read());
     connectivity.tick();
     forwarding.report(connectivity.cutOffServices());
     sendWorkReports();
-    checks.run(lag.readUntil(ticker.read()));
     demand.tick(ticker.read());
     pollScheduler();
+    checks.run(lag.readUntil(ticker.read()));
   }
 
   private void exchangeReports(
@@ -320,7 +316,8 @@
     SessionReporter sessions =
         new SessionReporter(versions, currentView, members, peers, ticker::read);
     tasks.runEvery(SessionReporter.PERIOD, () -> sessions.tick(ticker.read()));
-    suspects.onRead(read -> eventLoop.execute(() -> onSuspectsRead(read)));
+    suspects.onRead(
+        read -> eventLoop.execute(() -> crashGuard.quarantine().onRead(read, ticker.read())));
   }
 
   private void exchangeMeasurements(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/RolloutManager.java
@@ -16,6 +16,7 @@
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
 import org.guavagw.gateway.internal.peers.RolloutRejection;
+import org.guavagw.gateway.internal.scheduling.PeriodicTasks;
 import org.guavagw.gateway.model.RolloutOrder;
 import org.guavagw.gateway.model.RolloutState;
 import org.guavagw.gateway.model.RolloutStatus;
@@ -77,10 +78,9 @@
 
   /** Starts reviewing rollouts. */
   public void start() {
-    long period = REVIEW_PERIOD.toMillis();
     peers.onMessage(EvidenceReport.class, this::onEvidence);
     peers.onMessage(RolloutRejection.class, this::onRejection);
-    traffic.scheduleAtFixedRate(this::review, period, period, TimeUnit.MILLISECONDS);
+    new PeriodicTasks(traffic, log).runEvery(REVIEW_PERIOD, this::review);
   }
 
   @Override
--- /dev/null
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** Runs tasks again and again. */
+package org.guavagw.gateway.internal.scheduling;
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicChecksTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicChecksTest.java
@@ -1,6 +1,7 @@
 package org.guavagw.gateway.internal.relay;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalStateException;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -39,4 +40,17 @@
     checks.run(0);
     assertThat(run).containsExactly("added");
   }
+
+  @Test
+  void shouldRunTheOtherChecksIfOneFails() {
+    checks.add(
+        readUntil -> {
+          throw new IllegalStateException("as intended");
+        });
+    checks.add(readUntil -> run.add("other"));
+
+    assertThatIllegalStateException().isThrownBy(() -> checks.run(0));
+
+    assertThat(run).containsExactly("other");
+  }
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/PeriodicTasksTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/scheduling/PeriodicTasksTest.java
@@ -1,4 +1,4 @@
-package org.guavagw.gateway.internal.relay;
+package org.guavagw.gateway.internal.scheduling;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.assertj.core.api.Assertions.assertThat;
