Limit what incomplete heads of answers hold together

Callers saw: while a faulty backend server sent 200 heads at once, each a line of 56 kB without end, requests with a deadline of 1.5 s were answered after 15.4 s.

Cause: each connection may hold 64 kB of a line in the decoder, from direct memory, and up to 128 kB in the scanner; nothing bounded the sum. The entry ran out of direct memory, and its traffic thread waited a second for each buffer.

Change: a decoder says what it holds of a head, of trailers or of a line that is incomplete. The connections to backend servers and to other entries share one limit (HeldBytesLimit, a quarter of that of callers); beyond it the largest is dropped, its attempt fails with NO_MEMORY without blame, and its memory is freed at once. Trailers of requests count in the account of callers now, too. ConnectionPools creates the pools in place of Relay.

Pools to other entries run the same code; no test of their own.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/AnswerDecoder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/AnswerDecoder.java
@@ -54,6 +54,19 @@
     return !surplusBytes && actualReadableBytes() == 0;
   }
 
+  /** Returns the memory that what is incomplete of a head, of trailers or of a line takes. */
+  public long heldBytes() {
+    ByteBuf unread = internalBuffer();
+    ByteBuf whole = unread.unwrap() == null ? unread : unread.unwrap();
+    return scanner.incompleteBytes() + whole.capacity();
+  }
+
+  @Override
+  protected void handlerRemoved0(ChannelHandlerContext ctx) throws Exception {
+    super.handlerRemoved0(ctx);
+    scanner.freeLine();
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
     if (!requestPending || !(message instanceof ByteBuf bytes)) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
@@ -28,6 +28,11 @@
    */
   static final int MAX_FIELDS = 256;
 
+  /** Memory that a decoded field takes beside its characters, and a head for each of its bytes. */
+  private static final int FIELD_OVERHEAD_BYTES = 128;
+
+  private static final int BYTES_PER_HEAD_BYTE = 2;
+
   private HeadRules rules;
   private State state = State.START_LINE;
   private FieldLines fields = new FieldLines();
@@ -60,6 +65,10 @@
     boolean isLine() {
       return line;
     }
+
+    boolean hasFields() {
+      return this == START_LINE || this == HEADER_LINE || this == TRAILER_LINE;
+    }
   }
 
   FramingScanner(HeadRules rules) {
@@ -71,22 +80,29 @@
     rules = nextRules;
     state = State.START_LINE;
     fields = new FieldLines();
-    if (line.length > MIN_LINE_CAPACITY) {
-      line = new byte[MIN_LINE_CAPACITY];
-    }
+    freeLine();
     blankLines = 0;
     headBytes = 0;
     fieldCount = 0;
   }
 
-  /** Returns the bytes of the head of the message so far. */
-  int headBytes() {
-    return headBytes;
+  /** Frees the memory of a long line, which must not be read further. */
+  void freeLine() {
+    lineLength = 0;
+    if (line.length > MIN_LINE_CAPACITY) {
+      line = new byte[MIN_LINE_CAPACITY];
+    }
   }
 
-  /** Returns the header and trailer fields of the message so far. */
-  int fieldCount() {
-    return fieldCount;
+  /** Returns the memory that the head and the trailers of the message take so far once decoded. */
+  long decodedBytes() {
+    return (long) BYTES_PER_HEAD_BYTE * headBytes + (long) FIELD_OVERHEAD_BYTES * fieldCount;
+  }
+
+  /** Returns the memory that a long line and fields take whose head or trailers are incomplete. */
+  long incompleteBytes() {
+    int longLine = line.length - MIN_LINE_CAPACITY;
+    return state.hasFields() ? longLine + decodedBytes() : longLine;
   }
 
   /** Returns whether a message is complete and the next one is not expected yet. */
@@ -128,7 +144,7 @@
   private int takeLine(ByteBuf bytes, int index, int end) {
     int newline = bytes.indexOf(index, end, (byte) '\n');
     int lineEnd = newline < 0 ? end : newline + 1;
-    if (state == State.START_LINE || state == State.HEADER_LINE) {
+    if (state.hasFields()) {
       headBytes += lineEnd - index;
     }
     append(bytes, index, lineEnd - index);
@@ -197,6 +213,10 @@
   }
 
   private void onBody(BodyEnd end) {
+    freeLine();
+    if (end.kind() == BodyEnd.Kind.INTERIM) {
+      headBytes = 0;
+    }
     bodyLeft = end.length();
     state =
         switch (end.kind()) {
@@ -236,6 +256,7 @@
 
   private void onTrailer(int length) {
     if (length == 0) {
+      freeLine();
       state = State.COMPLETE;
       return;
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/RequestCheck.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/RequestCheck.java
@@ -24,11 +24,6 @@
   /** Buffers with requests sent ahead, beyond which no more is read. */
   private static final int MAX_BYTES_AHEAD = 16 * 1024;
 
-  /** Memory that a decoded field takes beside its characters, and a head for each of its bytes. */
-  private static final int FIELD_OVERHEAD_BYTES = 128;
-
-  private static final int BYTES_PER_HEAD_BYTE = 2;
-
   private static final RequestFraming RULES = new RequestFraming();
 
   private final FramingScanner scanner = new FramingScanner(RULES);
@@ -98,9 +93,7 @@
 
   /** Returns the memory that the head of the request and what was sent ahead of it take. */
   public long heldBytes() {
-    return bytesAhead
-        + (long) BYTES_PER_HEAD_BYTE * scanner.headBytes()
-        + (long) FIELD_OVERHEAD_BYTES * scanner.fieldCount();
+    return bytesAhead + scanner.decodedBytes();
   }
 
   @Override
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -21,6 +21,7 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.framing.AnswerDecoder;
+import org.guavagw.gateway.internal.memory.HeldBytesLimit;
 import org.guavagw.gateway.spi.AnswerHead;
 import org.guavagw.gateway.spi.RelayFormat;
 
@@ -31,7 +32,8 @@
  * use of the connection, and on those to other entries, it may also name none. An answer that names
  * another request is read and dropped, as long as these are few, and the connection is not used
  * again, nor after bytes that belong to no answer. An answer that ends with its connection is
- * complete only if the connection was closed without an error.
+ * complete only if the connection was closed without an error. What an incomplete head holds is
+ * within the limit of all connections.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class BackendConnection extends ChannelInboundHandlerAdapter {
@@ -47,6 +49,7 @@
   private final boolean answersNamed;
   private final BackendConnectionPool.ServerConnections serverConnections;
   private final Runnable onReceived;
+  private final HeldBytesLimit.Part held;
   private AnswerDecoder decoder;
   private ChannelHandlerContext context;
   private AttemptListener listener;
@@ -72,16 +75,19 @@
    * Creates a connection that is not open yet.
    *
    * @param onReceived runs once for all that is read of an answer at a time
+   * @param incompleteHeads the limit on what all connections hold of heads
    */
   BackendConnection(
       RelayFormat format,
       boolean answersNamed,
       BackendConnectionPool.ServerConnections serverConnections,
-      Runnable onReceived) {
+      Runnable onReceived,
+      HeldBytesLimit incompleteHeads) {
     this.format = format;
     this.answersNamed = answersNamed;
     this.serverConnections = serverConnections;
     this.onReceived = onReceived;
+    this.held = incompleteHeads.newPart(this::drop);
   }
 
   /** Creates the decoder of the answers on this connection. */
@@ -169,6 +175,9 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (!closed) {
+      held.set(decoder.heldBytes());
+    }
     if (received) {
       received = false;
       onReceived.run();
@@ -273,6 +282,12 @@
     }
   }
 
+  /** Frees the memory at once, and not only when the close takes effect. */
+  private void drop() {
+    fail(AttemptFailure.NO_MEMORY);
+    context.pipeline().remove(decoder);
+  }
+
   void closeIfIdleAfter(long delay, TimeUnit unit) {
     long ownGeneration = generation;
     context
@@ -291,6 +306,7 @@
     reusable = false;
     if (!closed) {
       closed = true;
+      held.set(0);
       serverConnections.onClosed(this);
     }
     context.close();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectionPool.java
@@ -19,6 +19,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.guavagw.gateway.internal.memory.HeldBytesLimit;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.RelayFormat;
 
@@ -54,6 +55,7 @@
   private final PendingReadBarrier readBarrier;
   private final ConnectListener connectListener;
   private final boolean answersNamed;
+  private final HeldBytesLimit incompleteHeads;
   private final Ticker ticker;
   private final Map<String, ServerConnections> connectionsByIncarnation = new HashMap<>();
 
@@ -63,6 +65,7 @@
    * @param connectListener is notified of the outcome of every connection before anybody else, and
    *     of what is received
    * @param answersNamed whether all answers name their requests; those of other entries don't
+   * @param incompleteHeads the limit on what connections hold of heads
    */
   BackendConnectionPool(
       Transport transport,
@@ -70,9 +73,11 @@
       PendingReadBarrier readBarrier,
       ConnectListener connectListener,
       boolean answersNamed,
+      HeldBytesLimit incompleteHeads,
       Ticker ticker) {
     this.format = format;
     this.answersNamed = answersNamed;
+    this.incompleteHeads = incompleteHeads;
     this.readBarrier = readBarrier;
     this.connectListener = connectListener;
     this.ticker = ticker;
@@ -123,7 +128,11 @@
 
   private BackendConnection newConnection(BackendServer server, ServerConnections connections) {
     return new BackendConnection(
-        format, answersNamed, connections, () -> connectListener.onReceived(server));
+        format,
+        answersNamed,
+        connections,
+        () -> connectListener.onReceived(server),
+        incompleteHeads);
   }
 
   private Attempt connect(
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EntryForwarding.java
@@ -10,7 +10,6 @@
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
 import org.guavagw.gateway.internal.peers.ReachReport;
-import org.guavagw.gateway.spi.RelayFormat;
 import org.guavagw.internal.lifecycle.Closer;
 
 /**
@@ -27,8 +26,7 @@
 
   EntryForwarding(
       Transport transport,
-      RelayFormat format,
-      PendingReadBarrier readBarrier,
+      BackendConnectionPool pool,
       Supplier<Members> members,
       PeerMessenger peers,
       Ticker ticker) {
@@ -39,10 +37,7 @@
     peers.onMessage(
         ReachReport.class,
         (from, report) -> reach.onReport(from.memberId(), report, ticker.read()));
-    this.pool =
-        closer.register(
-            new BackendConnectionPool(
-                transport, format, readBarrier, ConnectListener.NONE, false, ticker));
+    this.pool = closer.register(pool);
   }
 
   /** Returns the connections to other entries. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -147,8 +147,9 @@
     EventLoopLag lag = new EventLoopLag(callerServer.listeningSinceNanos());
     PendingReadBarrier readBarrier = new PendingReadBarrier(eventLoop, lag, ticker);
     this.connectivity = new BackendConnectivity(this::probe, this::serversInService, ticker, log);
-    this.pool = closer.register(newPool(transport, format, readBarrier));
-    this.forwarding = closer.register(newForwarding(transport, format, readBarrier, peers));
+    var pools = new ConnectionPools(transport, format, readBarrier, memory.limitBytes(), ticker);
+    this.pool = closer.register(pools.toServers(connectivity));
+    this.forwarding = closer.register(pools.newForwarding(members, peers));
     this.availability = newAvailability(log);
     this.workReportSender = newWorkReportSender(settings, hubSelector, peers);
     var versions =
@@ -192,19 +193,6 @@
     serveGauges(metrics, lag, connectionDependencies.connections());
   }
 
-  private BackendConnectionPool newPool(
-      Transport transport, RelayFormat format, PendingReadBarrier readBarrier) {
-    return new BackendConnectionPool(transport, format, readBarrier, connectivity, true, ticker);
-  }
-
-  private EntryForwarding newForwarding(
-      Transport transport,
-      RelayFormat format,
-      PendingReadBarrier readBarrier,
-      PeerMessenger peers) {
-    return new EntryForwarding(transport, format, readBarrier, members, peers, ticker);
-  }
-
   private WorkReportSender newWorkReportSender(
       GatewaySettings settings, HubSelector hubs, PeerMessenger peers) {
     long link = settings.resources().linkBytesPerSecond();
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -73,6 +74,23 @@
         .isEqualTo("read");
   }
 
+  @Test
+  void shouldCountWhatAHeadHoldsOnlyUntilItIsComplete() {
+    AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig(), () -> {});
+    EmbeddedChannel channel = new EmbeddedChannel(decoder);
+    decoder.onRequest(HttpMethod.GET);
+    channel.writeInbound(head("HTTP/1.1 200 X\r\nX-A: " + "b".repeat(5000)));
+    assertThat(decoder.heldBytes()).isBetween(10_000L, 40_000L);
+
+    channel.writeInbound(head("\r\nContent-Length: 2\r\n\r\nx"));
+    assertThat(decoder.heldBytes()).isZero();
+    channel.finishAndReleaseAll();
+  }
+
+  private static ByteBuf head(String text) {
+    return Unpooled.copiedBuffer(text, ISO_8859_1);
+  }
+
   /** Feeds byte by byte; returns whether one whole answer was read or it was refused. */
   private static String read(String bytes, HttpMethod method) {
     AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig(), () -> {});
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendConnectionPoolTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/BackendConnectionPoolTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.guavagw.gateway.internal.Samples;
+import org.guavagw.gateway.internal.memory.HeldBytesLimit;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.gateway.spi.AnswerHead;
 import org.junit.jupiter.api.AfterEach;
@@ -52,6 +53,7 @@
             new PendingReadBarrier(transport.group().next(), lagging, ticker),
             ConnectListener.NONE,
             true,
+            new HeldBytesLimit(0),
             ticker);
   }
 
