--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/memory/MemoryAccountTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/memory/MemoryAccountTest.java
@@ -53,6 +53,18 @@
     assertThat(evicted).containsExactly(waiting, receiving);
   }
 
+  @Test
+  void shouldGiveUpAnAnswerThatIsNotTakenBeforeOneThatIsStillReceived() {
+    Holder answering = open(Standing.ANSWERING);
+    Holder answered = open(Standing.ANSWERED);
+    answering.share.set(550);
+    answered.share.set(501);
+    assertThat(evicted).containsExactly(answered);
+
+    open(Standing.SERVING).share.set(500);
+    assertThat(evicted).containsExactly(answered, answering);
+  }
+
   @Test
   void shouldNotGiveUpARequestThatIsServedOrTheOnlyOne() {
     Holder only = open(Standing.RECEIVING);
