--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -7,7 +7,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import org.guavagw.Refusal;
 import org.guavagw.gateway.internal.admission.RequestTraits;
@@ -35,6 +34,7 @@
   private final AttemptPlanner planner;
   private final AttemptSender sender;
   private final StalledAttemptMonitor monitor;
+  private final CallerStream stream;
   private final AttemptCounts counts;
   private final ExchangeLifecycle lifecycle = new ExchangeLifecycle();
   private final Set<String> triedIncarnations = new HashSet<>();
@@ -45,13 +45,9 @@
   private Attempt attempt;
   private AnswerForwarder forwarder;
   private boolean firstAttemptSent;
-  private boolean streamStarted;
   private boolean connectionsFailed;
   private ForwardedExchange forwarded;
   private int attemptCount;
-  private long firstEventNanos;
-  private OptionalLong lastEventId;
-  private int eventsForwarded;
 
   Exchange(
       ExchangeDependencies shared,
@@ -70,7 +66,7 @@
     this.monitor = new StalledAttemptMonitor(shared, request, this);
     this.outcomes = new OutcomeReporter(shared, request, plan);
     this.counts = AttemptCounts.of(request, shared.retryBudgets().apply(plan.service()));
-    this.lastEventId = request.caller().resumeAfter();
+    this.stream = new CallerStream(sink, shared.format(), request.caller().resumeAfter());
     this.model = shared.models().initialModel(request.route(), request.caller());
     this.deadlineTimer = shared.runAt(plan.deadlineNanos(), this::onTimeout);
   }
@@ -133,7 +129,7 @@
       return;
     }
     deadlineTimer.cancel(false);
-    var state = ForwardedExchange.State.of(plan, lastEventId, streamStarted, counts);
+    var state = ForwardedExchange.State.of(plan, stream, counts);
     forwarded = new ForwardedExchange(shared, request, state, sink, listener::onDone, log);
     forwarded.start();
   }
@@ -173,7 +169,8 @@
     forwarder = AnswerForwarder.of(this, sink, request.route().kind());
     int attemptNumber = attemptCount;
     Attempt sent =
-        sender.send(chosen, model, lastEventId, () -> isStillWanted(chosen), forwarder, now);
+        sender.send(
+            chosen, model, stream.lastEventId(), () -> isStillWanted(chosen), forwarder, now);
     // The attempt may already have failed and been replaced by another one.
     if (attemptCount == attemptNumber && progress != null) {
       attempt = sent;
@@ -215,7 +212,7 @@
       body.release();
       return;
     }
-    if (streamStarted) {
+    if (stream.started()) {
       // A stream that has begun can only be continued with further events.
       body.release();
       onAttemptFailed(AttemptFailure.SERVER_ERROR);
@@ -245,23 +242,18 @@
     if (!progress.hasEvents()) {
       onAnswerBegun(now);
     }
-    progress.onEvent(lastEventId.isEmpty());
+    progress.onEvent(stream.lastEventId().isEmpty());
     outcomes.reportPace(progress, model);
-    if (!streamStarted) {
+    if (!stream.started()) {
       Optional<String> better = model.flatMap(m -> planner.strongerModel(m, answer));
       if (better.isPresent() && tryStrongerModel(better.get(), answer.confidence().orElse(-1))) {
         event.bytes().release();
         return;
       }
-      firstEventNanos = now;
-      startAnswerOnce(head);
+      stream.startOnce(head);
     }
     progress.onPrefillFinished();
-    if (event.id().isPresent()) {
-      lastEventId = event.id();
-    }
-    eventsForwarded++;
-    if (!sink.write(event.bytes())) {
+    if (!stream.write(event, now)) {
       attempt.setReading(false);
     }
   }
@@ -279,13 +271,6 @@
     }
   }
 
-  private void startAnswerOnce(HttpResponse head) {
-    if (!streamStarted) {
-      streamStarted = true;
-      sink.startChunked(head.status().code(), callerHeaders(head));
-    }
-  }
-
   /** Returns the headers of an answer that the caller gets. */
   HttpHeaders callerHeaders(HttpResponse head) {
     return shared.format().callerHeaders(head);
@@ -323,12 +308,8 @@
     return candidate.equals(forwarder);
   }
 
-  OptionalLong lastEventId() {
-    return lastEventId;
-  }
-
-  int eventsForwarded() {
-    return eventsForwarded;
+  CallerStream stream() {
+    return stream;
   }
 
   /**
@@ -336,7 +317,7 @@
    * ownership of the bytes after the last event.
    */
   void finishStream(HttpResponse head, ByteBuf rest) {
-    startAnswerOnce(head);
+    stream.startOnce(head);
     var unused = sink.write(rest);
     outcomes.reportSuccess(progress.server());
     end("streamed", 200, sink::finish);
@@ -354,7 +335,7 @@
   /** Retries after a server error. Requires that {@link #tryAcquireRetry} returned true. */
   void retryAfterServerError() {
     outcomes.reportFailure(progress.server());
-    log.attemptFailed(progress, AttemptFailure.SERVER_ERROR, eventsForwarded);
+    log.attemptFailed(progress, AttemptFailure.SERVER_ERROR, stream.events());
     endAttempt();
     dispatch();
   }
@@ -364,7 +345,7 @@
       return;
     }
     long now = shared.ticker().read();
-    log.attemptFailed(progress, failure, eventsForwarded);
+    log.attemptFailed(progress, failure, stream.events());
     outcomes.reportAttemptFailure(progress, model, failure, now);
     counts.onFailed(progress, failure);
     connectionsFailed |= failure == AttemptFailure.UNREACHABLE;
@@ -408,7 +389,7 @@
   /** Reserves a retry in place of forwarding a server error; returns whether one is allowed. */
   boolean tryAcquireRetry() {
     return request.route().safeToRetry()
-        && !streamStarted
+        && !stream.started()
         && counts.tryAnother(shared.ticker().read());
   }
 
@@ -424,7 +405,7 @@
     end(
         adjusted.code().wireName() + ": " + adjusted.reason(),
         adjusted.code().httpStatus(),
-        () -> RefusalWriter.writeOrAbort(sink, adjusted, streamStarted));
+        () -> RefusalWriter.writeOrAbort(sink, adjusted, stream.started()));
   }
 
   private void onTimeout() {
@@ -488,7 +469,7 @@
     }
     deadlineTimer.cancel(false);
     log.ended(
-        ExchangeLog.Summary.of(outcome, status, counts, firstEventNanos, eventsForwarded),
+        ExchangeLog.Summary.of(outcome, status, counts, stream),
         model,
         Optional.ofNullable(progress).map(AttemptProgress::server));
     endAttempt();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLog.java
@@ -118,10 +118,14 @@
    */
   record Summary(
       String outcome, int status, int executed, int turnedAway, long firstEventNanos, int events) {
-    static Summary of(
-        String outcome, int status, AttemptCounts counts, long firstEventNanos, int events) {
+    static Summary of(String outcome, int status, AttemptCounts counts, CallerStream stream) {
       return new Summary(
-          outcome, status, counts.executed(), counts.turnedAway(), firstEventNanos, events);
+          outcome,
+          status,
+          counts.executed(),
+          counts.turnedAway(),
+          stream.firstEventNanos(),
+          stream.events());
     }
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -65,13 +65,12 @@
       boolean answerStarted,
       int attempts,
       boolean provenNotRun) {
-    static State of(
-        RequestPlan plan, OptionalLong resumeAfter, boolean answerStarted, AttemptCounts counts) {
+    static State of(RequestPlan plan, CallerStream stream, AttemptCounts counts) {
       return new State(
           plan.service(),
           plan.deadlineNanos(),
-          resumeAfter,
-          answerStarted,
+          stream.lastEventId(),
+          stream.started(),
           counts.counted(),
           counts.provenNotRun());
     }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StreamedAnswerForwarder.java
@@ -76,7 +76,7 @@
   }
 
   private boolean inOrder(OptionalLong id) {
-    OptionalLong last = exchange.lastEventId();
+    OptionalLong last = exchange.stream().lastEventId();
     if (last.isEmpty()) {
       return true;
     }
@@ -95,7 +95,7 @@
   }
 
   private boolean nothingForwarded() {
-    return exchange.eventsForwarded() == 0 && exchange.lastEventId().isEmpty();
+    return exchange.stream().events() == 0 && exchange.stream().lastEventId().isEmpty();
   }
 
   @Override
