Go on with a begun stream until its deadline when no entry can continue it

Callers saw a stream cut off, though most of its deadline was left: it had lost its server while this entry reached no server of the service, and was broken off as soon as three other entries had failed or none was left to ask.

Cause: ForwardedExchange treated it as a request without an answer, which is refused at once and may come again. A caller with the head of a stream can't be refused, so the refusal became a broken connection.

Fix: ForwardedExchange hands such a stream back, and Exchange dispatches it anew after 300 to 600 ms (ContinuationDelay), to its own servers if they are reachable again, else to other entries with fresh tries. The caller's leave, the stop of the entry, the deadline and the route's limits end it as before; an attempt at another entry that may have run isn't repeated, as before. The same holds for a begun stream for which no own server has room. Requests without an answer are refused at once, as before.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -20,7 +20,8 @@
  *
  * <p>Confined to the traffic thread. Invariants: the caller gets exactly one answer; a request of a
  * route that is not safe to retry is sent again only if no backend server can have executed it; at
- * most one attempt is in flight.
+ * most one attempt is in flight; a stream that has begun is broken off for want of a server only at
+ * its deadline or at the limits of its route.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class Exchange {
@@ -39,7 +40,7 @@
   private final ExchangeLifecycle lifecycle = new ExchangeLifecycle();
   private final Set<String> triedIncarnations = new HashSet<>();
   private final RequestPlan plan;
-  private final ScheduledFuture<?> deadlineTimer;
+  private ScheduledFuture<?> deadlineTimer;
   private Optional<String> model;
   private AttemptProgress progress;
   private Attempt attempt;
@@ -117,12 +118,19 @@
       startAttempt(chosen.get(), now);
     } else if ((cutOff || connectionsFailed) && mayForward) {
       forward();
+    } else if (stream.started() && counts.allowsAnother()) {
+      tryAgainLater();
     } else {
       refuse(ExchangeRefusals.noBackendServer(planner.retryDelay(counts.turnedAway() > 0, now)));
     }
     return true;
   }
 
+  private void tryAgainLater() {
+    triedIncarnations.clear();
+    shared.runAt(shared.ticker().read() + ContinuationDelay.next().toNanos(), this::dispatch);
+  }
+
   /** Lets another entry serve the request from here on. */
   private void forward() {
     if (!lifecycle.tryForward()) {
@@ -130,10 +138,20 @@
     }
     deadlineTimer.cancel(false);
     var state = ForwardedExchange.State.of(plan, stream, counts);
-    forwarded = new ForwardedExchange(shared, request, state, sink, listener::onDone, log);
+    forwarded = new ForwardedExchange(shared, request, state, sink, listener, this::takeBack, log);
     forwarded.start();
   }
 
+  /** Goes on with a stream that no other entry can continue now. */
+  private void takeBack() {
+    if (!lifecycle.tryTakeBack()) {
+      return;
+    }
+    forwarded = null;
+    deadlineTimer = shared.runAt(plan.deadlineNanos(), this::onTimeout);
+    tryAgainLater();
+  }
+
   /** Returns the monotonic time by which the caller must have its answer. */
   long deadlineNanos() {
     return plan.deadlineNanos();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLifecycle.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLifecycle.java
@@ -3,8 +3,8 @@
 /**
  * Where an exchange stands. Traffic thread only.
  *
- * <p>Invariant: an exchange leaves {@link State#ACTIVE} once, either because it has ended or
- * because another entry serves the request from then on; whoever comes second is told so.
+ * <p>Invariant: an exchange that has ended stays so; one that another entry serves gets active
+ * again only by being taken back; whoever comes second is told so.
  */
 final class ExchangeLifecycle {
   private State state = State.ACTIVE;
@@ -33,8 +33,17 @@
     return tryLeave(State.FORWARDED);
   }
 
+  /** Takes the request back from other entries; returns false if none serves it. */
+  boolean tryTakeBack() {
+    return tryChange(State.FORWARDED, State.ACTIVE);
+  }
+
   private boolean tryLeave(State next) {
-    if (state != State.ACTIVE) {
+    return tryChange(State.ACTIVE, next);
+  }
+
+  private boolean tryChange(State expected, State next) {
+    if (state != expected) {
       return false;
     }
     state = next;
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ForwardedExchange.java
@@ -21,7 +21,8 @@
  *
  * <p>Confined to the traffic thread. Invariants: the caller gets exactly one answer; the request
  * goes to a second entry only if the first has not run it; an answer that breaks off does not look
- * complete; the entry that takes the request does not forward it again.
+ * complete; the body is released here unless the request is handed back; the entry that takes the
+ * request does not forward it again.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class ForwardedExchange {
@@ -40,7 +41,8 @@
   private final AdmittedRequest request;
   private final State state;
   private final AnswerSink sink;
-  private final Runnable onDone;
+  private final ExchangeListener listener;
+  private final Runnable onNotContinued;
   private final ExchangeLog log;
   private final ScheduledFuture<?> deadlineTimer;
   private final Set<String> triedEntries = new HashSet<>();
@@ -76,18 +78,27 @@
     }
   }
 
+  /**
+   * Creates an exchange, which {@link #start} begins.
+   *
+   * @param listener is notified of the end unless the request is handed back
+   * @param onNotContinued takes the request back, in place of refusing it, if its caller has the
+   *     head of a stream and no entry that can be asked now has run it
+   */
   ForwardedExchange(
       ExchangeDependencies shared,
       AdmittedRequest request,
       State state,
       AnswerSink sink,
-      Runnable onDone,
+      ExchangeListener listener,
+      Runnable onNotContinued,
       ExchangeLog log) {
     this.shared = shared;
     this.request = request;
     this.state = state;
     this.sink = sink;
-    this.onDone = onDone;
+    this.listener = listener;
+    this.onNotContinued = onNotContinued;
     this.log = log;
     this.provenNotRun = state.provenNotRun();
     this.answerStarted = state.answerStarted();
@@ -107,9 +118,7 @@
                 .select(request.caller().id(), state.service(), triedEntries, now)
             : Optional.empty();
     if (entry.isEmpty()) {
-      refuse(
-          ExchangeRefusals.noBackendServer(
-              lastRetryAfter.orElse(RetryAfterDelays.NO_BACKEND_SERVER)));
+      onNoEntryLeft();
       return;
     }
     triedEntries.add(entry.get().name());
@@ -122,6 +131,17 @@
     }
   }
 
+  private void onNoEntryLeft() {
+    if (!answerStarted) {
+      refuse(
+          ExchangeRefusals.noBackendServer(
+              lastRetryAfter.orElse(RetryAfterDelays.NO_BACKEND_SERVER)));
+    } else if (lifecycle.tryEnd()) {
+      deadlineTimer.cancel(false);
+      onNotContinued.run();
+    }
+  }
+
   private OutgoingRequest outgoing(long now) {
     long remainingMillis = Math.max(1, (state.deadlineNanos() - now) / NANOS_PER_MILLI);
     HttpHeaders headers =
@@ -187,7 +207,7 @@
   }
 
   /**
-   * Ends the exchange unless it has ended; every end goes through here.
+   * Ends the exchange unless it has ended; every end of the request goes through here.
    *
    * @param answer gives the caller its final answer
    */
@@ -202,7 +222,7 @@
         Optional.empty());
     request.body().release();
     answer.run();
-    onDone.run();
+    listener.onDone();
   }
 
   /** The answer of one entry. */
