Try a server once more beside its witnesses before it counts as failed

Callers saw streams of sound servers cancelled, and requests moved to other servers, though the server could be reached: while this entry's own full link drained, a connection to the server timed out and one to another server, begun later, came about.

Cause: ConnectFailureCheck took any connection that came about since the failed one was begun, or a witness that was connected to afterwards, as proof against the server. The server itself wasn't tried again, so that connections begun at different moments were compared.

Fix: after a failure the server is tried once more, in the same turn as up to three others. It counts as failed only if its second try fails and one of the others comes about; if all others fail, the link is to blame at once, as before. Connections made meanwhile are no evidence any more (connectedSince is gone).

Tests: two new ones failed before in ReachabilityProbeTest (false in place of true) and one in EndedServerDetectorTest (ended in place of running). The two tests that wanted a verdict at once because another server was reached meanwhile were wrong, as that connection may have begun when the link had drained. They are replaced by tests that want the verdict as soon as the second try has failed and one witness was reached, in either order, and none before.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectivity.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnectivity.java
@@ -86,11 +86,6 @@
     return others;
   }
 
-  @Override
-  public boolean connectedSince(long nanos) {
-    return services.values().stream().anyMatch(s -> s.connectedSince(nanos));
-  }
-
   @Override
   public void onConnected(BackendServer server) {
     failures.remove(server.incarnation());
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ConnectFailureCheck.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ConnectFailureCheck.java
@@ -7,12 +7,13 @@
 
 /**
  * Finds out whether a connection failed because of its backend server rather than because of the
- * link of this entry: only if a connection to another server comes about, or there is no other.
+ * link of this entry: only if the server fails once more while a connection to another server,
+ * begun at the same moment, comes about, or if there is no other.
  *
  * <p>Invariant: each result is given once. Traffic thread only.
  */
 final class ConnectFailureCheck {
-  /** Servers that are connected to at a time. */
+  /** Other servers that are connected to at a time. */
   private static final int MAX_WITNESSES = 3;
 
   private final BiConsumer<BackendServer, Consumer<Boolean>> connect;
@@ -31,17 +32,12 @@
   }
 
   /**
-   * Checks a failed connection.
+   * Checks a server to which a connection has failed.
    *
-   * @param begunNanos monotonic time at which the connection was begun
    * @param result receives whether the backend server is the cause, possibly before this method
    *     returns
    */
-  void check(BackendServer server, long begunNanos, Consumer<Boolean> result) {
-    if (witnesses.connectedSince(begunNanos)) {
-      result.accept(true);
-      return;
-    }
+  void check(BackendServer server, Consumer<Boolean> result) {
     List<BackendServer> others =
         witnesses.othersThan(server).stream().limit(MAX_WITNESSES).toList();
     if (others.isEmpty()) {
@@ -49,25 +45,46 @@
       return;
     }
     Pending pending = new Pending(others.size(), result);
+    connect.accept(server, pending::onServer);
     others.forEach(other -> connect.accept(other, pending::onWitness));
   }
 
-  /** A check whose connections to other servers have begun. */
+  /** A check whose connections have begun. */
   private static final class Pending {
     private final Consumer<Boolean> result;
-    private int open;
+    private int openWitnesses;
+    private boolean witnessConnected;
+    private boolean serverFailed;
     private boolean done;
 
-    Pending(int open, Consumer<Boolean> result) {
-      this.open = open;
+    Pending(int openWitnesses, Consumer<Boolean> result) {
+      this.openWitnesses = openWitnesses;
       this.result = result;
     }
 
+    void onServer(boolean connected) {
+      serverFailed = !connected;
+      if (connected) {
+        conclude(false);
+      } else if (witnessConnected) {
+        conclude(true);
+      }
+    }
+
     void onWitness(boolean connected) {
-      open--;
-      if (!done && (connected || open == 0)) {
+      openWitnesses--;
+      witnessConnected |= connected;
+      if (witnessConnected && serverFailed) {
+        conclude(true);
+      } else if (!witnessConnected && openWitnesses == 0) {
+        conclude(false);
+      }
+    }
+
+    private void conclude(boolean causedByServer) {
+      if (!done) {
         done = true;
-        result.accept(connected);
+        result.accept(causedByServer);
       }
     }
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EndedServerDetector.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/EndedServerDetector.java
@@ -15,7 +15,7 @@
 
 /**
  * Tells apart a lost connection, the end of a backend server and a partition of this entry: a
- * server has ended if it accepts no new connection while another one does.
+ * server has ended if it accepts no new connection, twice, while another one does.
  *
  * <p>Invariants: each incarnation is checked once at a time, however many of its connections are
  * lost; the listener learns of an end before those who asked do. Traffic thread only.
@@ -34,9 +34,6 @@
   interface Witnesses {
     /** Returns other servers than this one. */
     List<BackendServer> othersThan(BackendServer server);
-
-    /** Returns whether a connection to any server came about after a monotonic time. */
-    boolean connectedSince(long nanos);
   }
 
   /** Is notified of servers that ended. */
@@ -79,7 +76,7 @@
       known.add(waiting, result);
       return;
     }
-    Check next = new Check(ticker.read());
+    Check next = new Check();
     next.add(waiting, result);
     checks.put(server.incarnation(), next);
     connect.accept(server, reachable -> onChecked(server, next, reachable));
@@ -89,7 +86,7 @@
     if (reachable) {
       conclude(server, check, false);
     } else {
-      failures.check(server, check.begunNanos, ended -> conclude(server, check, ended));
+      failures.check(server, ended -> conclude(server, check, ended));
     }
   }
 
@@ -113,15 +110,10 @@
   private static final class Check {
     private final List<RequestTraits> waiting = new ArrayList<>();
     private final List<Consumer<Boolean>> results = new ArrayList<>();
-    private final long begunNanos;
     private boolean inProgress = true;
     private boolean ended;
     private long doneNanos;
 
-    Check(long begunNanos) {
-      this.begunNanos = begunNanos;
-    }
-
     void add(Optional<RequestTraits> request, Consumer<Boolean> result) {
       request.ifPresent(waiting::add);
       results.add(result);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ReachabilityProbe.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ReachabilityProbe.java
@@ -1,6 +1,5 @@
 package org.guavagw.gateway.internal.relay;
 
-import com.google.common.base.Ticker;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -17,7 +16,6 @@
   private final BiConsumer<BackendServer, Consumer<Boolean>> connect;
   private final ConnectFailureCheck failures;
   private final Predicate<String> isCutOff;
-  private final Ticker ticker;
 
   /**
    * Creates a probe.
@@ -28,29 +26,23 @@
   ReachabilityProbe(
       BiConsumer<BackendServer, Consumer<Boolean>> connect,
       EndedServerDetector.Witnesses witnesses,
-      Predicate<String> isCutOff,
-      Ticker ticker) {
+      Predicate<String> isCutOff) {
     this.connect = connect;
     this.failures = new ConnectFailureCheck(connect, witnesses);
     this.isCutOff = isCutOff;
-    this.ticker = ticker;
   }
 
   /** Checks a server; the result receives whether it may be reachable. */
   void check(BackendServer server, Consumer<Boolean> result) {
-    long begunNanos = ticker.read();
-    connect.accept(server, connected -> onConnected(server, begunNanos, connected, result));
+    connect.accept(server, connected -> onConnected(server, connected, result));
   }
 
-  private void onConnected(
-      BackendServer server, long begunNanos, boolean connected, Consumer<Boolean> result) {
+  private void onConnected(BackendServer server, boolean connected, Consumer<Boolean> result) {
     if (connected || isCutOff.test(server.service())) {
       result.accept(connected);
       return;
     }
     failures.check(
-        server,
-        begunNanos,
-        serverFailed -> result.accept(!serverFailed && !isCutOff.test(server.service())));
+        server, serverFailed -> result.accept(!serverFailed && !isCutOff.test(server.service())));
   }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Relay.java
@@ -363,8 +363,7 @@
   }
 
   private ReachabilityProbe newReachabilityProbe() {
-    return new ReachabilityProbe(
-        pool::checkReachable, connectivity, connectivity::isCutOff, ticker);
+    return new ReachabilityProbe(pool::checkReachable, connectivity, connectivity::isCutOff);
   }
 
   private BackendSelector newSelector(VersionSelector versions, GatewaySettings settings) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EndedServerDetectorTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EndedServerDetectorTest.java
@@ -24,9 +24,8 @@
   private final Map<BackendServer, Consumer<Boolean>> connects = new HashMap<>();
   private final List<BackendServer> others = new ArrayList<>(List.of(OTHER, THIRD));
   private final List<String> events = new ArrayList<>();
-  private boolean connectedSince;
   private final EndedServerDetector detector =
-      new EndedServerDetector(connects::put, new ScriptedWitnesses(), this::onEnded, clock);
+      new EndedServerDetector(connects::put, server -> others, this::onEnded, clock);
 
   @Test
   void shouldTakeAServerThatAcceptsAConnectionForRunning() {
@@ -45,16 +44,30 @@
 
     connects.get(OTHER).accept(false);
     connects.get(THIRD).accept(true);
+    assertThat(events).isEmpty();
+    connects.get(LOST).accept(false);
 
     assertThat(events).containsExactly("ended under [request]", "ended");
   }
 
   @Test
-  void shouldTakeAServerForEndedAtOnceIfAnotherOneWasReachedMeanwhile() {
+  void shouldNotTakeAServerForEndedThatAcceptsAConnectionBesideAnother() {
     loseConnection();
-    connectedSince = true;
+    connects.get(LOST).accept(false);
+
+    connects.get(OTHER).accept(true);
+    connects.get(LOST).accept(true);
+
+    assertThat(events).containsExactly("running");
+  }
+
+  @Test
+  void shouldTakeAServerForEndedAtOnceIfAnotherOneIsReachedAfterItFailsOnceMore() {
+    loseConnection();
+    connects.get(LOST).accept(false);
 
     connects.get(LOST).accept(false);
+    connects.get(OTHER).accept(true);
 
     assertThat(events).containsExactly("ended under [request]", "ended");
   }
@@ -84,8 +97,9 @@
   void shouldCheckAServerOnceForAllThatLostAConnection() {
     loseConnection();
     detector.onConnectionLost(LOST, Optional.empty(), ended -> events.add("second " + ended));
-    connectedSince = true;
+    connects.get(LOST).accept(false);
 
+    connects.get(OTHER).accept(true);
     connects.get(LOST).accept(false);
 
     assertThat(events).containsExactly("ended under [request]", "ended", "second true");
@@ -99,17 +113,4 @@
   private void onEnded(BackendServer server, List<RequestTraits> waiting) {
     events.add("ended under " + waiting.stream().map(RequestTraits::fingerprint).toList());
   }
-
-  /** Witnesses as a test sets them. */
-  private final class ScriptedWitnesses implements EndedServerDetector.Witnesses {
-    @Override
-    public List<BackendServer> othersThan(BackendServer server) {
-      return others;
-    }
-
-    @Override
-    public boolean connectedSince(long nanos) {
-      return connectedSince;
-    }
-  }
 }
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/ReachabilityProbeTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/ReachabilityProbeTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.guavagw.gateway.internal.ManualClock;
 import org.guavagw.gateway.internal.Samples;
 import org.guavagw.gateway.model.BackendServer;
 import org.junit.jupiter.api.Test;
@@ -19,11 +18,9 @@
 
   private final Map<BackendServer, Consumer<Boolean>> connects = new HashMap<>();
   private final List<Boolean> results = new ArrayList<>();
-  private boolean connectedSince;
   private boolean cutOff;
   private final ReachabilityProbe probe =
-      new ReachabilityProbe(
-          connects::put, new ScriptedWitnesses(), service -> cutOff, new ManualClock());
+      new ReachabilityProbe(connects::put, server -> List.of(OTHER, THIRD), service -> cutOff);
 
   @Test
   void shouldTakeAServerThatAcceptsAConnectionForReachable() {
@@ -48,26 +45,41 @@
   }
 
   @Test
-  void shouldTakeAServerForUnreachableIfAnotherOneAcceptsAConnection() {
+  void shouldTakeAServerForUnreachableThatFailsOnceMoreAfterAnotherOneIsReached() {
     check();
     connects.get(SILENT).accept(false);
 
     connects.get(OTHER).accept(true);
-    connects.get(THIRD).accept(false);
+    assertThat(results).isEmpty();
+    connects.get(SILENT).accept(false);
 
     assertThat(results).containsExactly(false);
   }
 
   @Test
-  void shouldTakeAServerForUnreachableIfAnotherOneWasReachedMeanwhile() {
+  void shouldTakeAServerForUnreachableAsSoonAsAnotherOneIsReachedAfterItFailsOnceMore() {
     check();
-    connectedSince = true;
+    connects.get(SILENT).accept(false);
 
     connects.get(SILENT).accept(false);
+    connects.get(THIRD).accept(false);
+    assertThat(results).isEmpty();
+    connects.get(OTHER).accept(true);
 
     assertThat(results).containsExactly(false);
   }
 
+  @Test
+  void shouldNotTakeAServerForUnreachableThatAcceptsAConnectionBesideAnother() {
+    check();
+    connects.get(SILENT).accept(false);
+
+    connects.get(OTHER).accept(true);
+    connects.get(SILENT).accept(true);
+
+    assertThat(results).containsExactly(true);
+  }
+
   @Test
   void shouldTakeAServerForUnreachableAtOnceIfTheEntryIsCutOff() {
     check();
@@ -93,17 +105,4 @@
   private void check() {
     probe.check(SILENT, results::add);
   }
-
-  /** Witnesses as a test sets them. */
-  private final class ScriptedWitnesses implements EndedServerDetector.Witnesses {
-    @Override
-    public List<BackendServer> othersThan(BackendServer server) {
-      return List.of(OTHER, THIRD);
-    }
-
-    @Override
-    public boolean connectedSince(long nanos) {
-      return connectedSince;
-    }
-  }
 }
