Close the connection that is given up for another one

Callers saw: nothing yet that is known. While all connections of callers have answers in progress of which something is held, new ones are accepted beyond the limit of connections, and with them descriptors could run out.

Cause: since the connection that is given up for a new one only had its answer dropped, and stayed open. It can't be given up again, not for memory either, as it counts as closing.

Change: an answer is dropped only for memory; for another connection the connection itself is closed, as before.

Evidence: EvictedAnswerTest#shouldCloseAConnectionThatIsGivenUpForAnother failed before (with a limit of one connection, two were open) and passes now; EvictedAnswerTest's other case and MemoryAccountTest hold.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/memory/MemoryHolder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/memory/MemoryHolder.java
@@ -6,9 +6,10 @@
   Standing standing();
 
   /**
-   * Gives up what the connection holds: an incomplete request is refused as not run, an answer of
-   * which something is held here is dropped, so that another backend server may give it, and any
-   * other connection is closed. Never called while the standing is {@link Standing#SERVING}.
+   * Gives up what the connection holds: an incomplete request is refused as not run, for memory an
+   * answer of which something is held here is dropped, so that another backend server may give it,
+   * and any other connection is closed. Never called while the standing is {@link
+   * Standing#SERVING}.
    */
   void evict(EvictionReason reason);
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/CallerConnection.java
@@ -455,7 +455,7 @@
   public void evict(EvictionReason reason) {
     if (standing() == Standing.RECEIVING) {
       refuseIncomplete(ExchangeRefusals.noMemoryFor(reason));
-    } else if (standing() == Standing.ANSWERING && heldAnswer.bytes() > 0) {
+    } else if (reason == EvictionReason.MEMORY && heldAnswer.bytes() > 0 && !closing) {
       heldAnswer.drop().run();
     } else {
       close(CloseReason.EVICTED);
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EvictedAnswerTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/relay/EvictedAnswerTest.java
@@ -48,6 +48,16 @@
     assertThat(channel.isOpen()).isTrue();
   }
 
+  @Test
+  void shouldCloseAConnectionThatIsGivenUpForAnother() {
+    beginStream();
+    EmbeddedChannel other =
+        new EmbeddedChannel(new CallerConnection(dependencies(), new RequestCheck()));
+
+    assertThat(channel.isOpen()).isFalse();
+    assertThat(other.isOpen()).isTrue();
+  }
+
   private void beginStream() {
     channel.writeInbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x"));
     connection.startChunked(200, EmptyHttpHeaders.INSTANCE);
