Test that checks of servers keep nothing of what they receive

Cause: whether connections that only check a server keep bytes without end was read, not shown. Evidence: 100 times 5,000 bytes that nobody asked for: each is reported, which closes such a connection, and nothing is held. It passes without a change of code.

--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
@@ -11,6 +11,8 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -87,6 +89,21 @@
     channel.finishAndReleaseAll();
   }
 
+  @Test
+  void shouldKeepNothingThatArrivesOnAConnectionThatOnlyChecksAServer() {
+    List<String> reports = new ArrayList<>();
+    AnswerDecoder decoder =
+        new AnswerDecoder(new HttpDecoderConfig(), () -> reports.add("unexpected"));
+    EmbeddedChannel channel = new EmbeddedChannel(decoder);
+    for (int i = 0; i < 100; i++) {
+      channel.writeInbound(head("x".repeat(5000)));
+    }
+
+    assertThat(reports).hasSize(100);
+    assertThat(decoder.heldBytes()).isZero();
+    assertThat(channel.inboundMessages()).isEmpty();
+  }
+
   private static ByteBuf head(String text) {
     return Unpooled.copiedBuffer(text, ISO_8859_1);
   }
