Show a hub whose link is full while servers turn requests away

Cause: WorkReportSender.sendSummaries bounds what is due, but an urgent notice (a brittle server that turned a request away, or a new suspect of the quarantine) goes out at once to each follower with the whole summary. SummarySchedule counts neither these nor the bytes of notices (ServerWork.approximateBytes leaves them out).

That another server turns a request away every 100 ms is assumed, not measured in a play.

--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/HubReportsTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/HubReportsTest.java
@@ -16,6 +16,7 @@
 import org.guavagw.gateway.internal.peers.MeasurementReport;
 import org.guavagw.gateway.internal.peers.Members;
 import org.guavagw.gateway.internal.peers.Members.Member;
+import org.guavagw.gateway.internal.peers.QuarantineNotices;
 import org.guavagw.gateway.internal.peers.ServerNotices;
 import org.guavagw.gateway.model.BackendServer;
 import org.guavagw.internal.peer.PeerCodec;
@@ -65,6 +66,28 @@
     assertThat(mostInTick / (double) LINK_BYTES_PER_SECOND).isLessThanOrEqualTo(MAX_BUSY_SECONDS);
   }
 
+  @Test
+  void shouldLeaveMostOfItsLinkToRequestsWhileServersTurnRequestsAway() {
+    var sender =
+        new WorkReportSender(
+            loads, () -> members, hubs, this::fullServers, this::send, LINK_BYTES_PER_SECOND);
+
+    run(() -> sender.tick(clock.read()));
+
+    assertThat(bytes / (double) LINK_BYTES_PER_SECOND)
+        .isLessThanOrEqualTo(MAX_LINK_PART * TIME.toSeconds());
+  }
+
+  /** Each tick another server has turned a request away, of which others are told for 500 ms. */
+  private ServerNotices fullServers(long nanos) {
+    long tick = nanos / WorkReportSender.PERIOD.toNanos();
+    Set<String> full = new HashSet<>();
+    for (long i = tick; i > tick - 5; i--) {
+      full.add("i-%010x".formatted((i % SERVERS) * 0x9e3779b97fL));
+    }
+    return new ServerNotices(Set.of(), Map.of(), Map.of(), full, QuarantineNotices.NONE);
+  }
+
   @Test
   void shouldNotSendItsMeasurementsToAllFollowersAtOnce() {
     var exchange =
