Send urgent notices to followers without the work

Cause: WorkReportSender.sendSummaries sent the whole summary to all followers, outside SummarySchedule, each time a notice was urgent, and ServerWork.approximateBytes left notices out.

Fix: while its summary is not due, a follower is sent only the new urgent notices, with what belongs to them (the rows of brittle servers, answers and holds of suspects), each once while it is urgent. The regular summary keeps its pace and still has all notices, and these count in its size. The message is a DataCentreWork of the hub's own data centre without work. A receiver passes its notices on, and PeerWorkReports leaves its work out, so that the last summary stays with its age.

Builds side by side: an older follower keeps the work of its last summary, as it adds up no data centres, and learns of the notice at once, but takes that work for reported anew. An older entry that acts as a second hub passes the notices on until the message expires after 1.5 s (as read). A new type of message would have been ignored by it, and a notice of 500 ms is over before the next summary, up to 750 ms later.

Trials of the tests new in WorkReportSenderTest: with a WorkSummary in place of the DataCentreWork, followers know 2 requests in place of 36, and the test fails; with PeerWorkReports as in the older build, the work stays and only the test of its age fails (0 s in place of 0.15 s). All tests of the packages peers and placement (98), BrittleServerTest and CrashingPromptTest hold, one run each.

Urgent notices to hubs of other data centres still go with the work.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/CrashSuspect.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/CrashSuspect.java
@@ -13,4 +13,9 @@
   public CrashSuspect {
     parts = List.copyOf(parts);
   }
+
+  /** Returns about how many bytes this takes in a message. */
+  long approximateBytes() {
+    return MessageSizes.ofNames(List.of(incarnation, fingerprint)) + MessageSizes.ofNames(parts);
+  }
 }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/QuarantineNotices.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/QuarantineNotices.java
@@ -1,9 +1,11 @@
 package org.guavagw.gateway.internal.peers;
 
+import com.google.common.collect.Maps;
 import com.google.common.collect.Sets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What entries report to one another of requests and prompt parts that may end backend servers.
@@ -49,6 +51,30 @@
     return suspects.hashCode();
   }
 
+  /** Returns about how many bytes this takes in a message. */
+  long approximateBytes() {
+    return suspects.stream().mapToLong(CrashSuspect::approximateBytes).sum()
+        + MessageSizes.ofNames(answeredRequests)
+        + MessageSizes.ofNames(answeredParts)
+        + MessageSizes.ofNumbers(heldRequests.keySet())
+        + MessageSizes.ofNames(heldParts);
+  }
+
+  /** Returns the suspects that others lack, with all that is reported of their requests. */
+  QuarantineNotices newSuspectsSince(QuarantineNotices known) {
+    Set<CrashSuspect> next = Sets.difference(suspects, known.suspects);
+    Set<String> requests =
+        next.stream().map(CrashSuspect::fingerprint).collect(Collectors.toUnmodifiableSet());
+    Set<String> parts =
+        next.stream().flatMap(s -> s.parts().stream()).collect(Collectors.toUnmodifiableSet());
+    return new QuarantineNotices(
+        next,
+        Sets.intersection(answeredRequests, requests),
+        Sets.intersection(answeredParts, parts),
+        Maps.filterKeys(heldRequests, requests::contains),
+        Sets.intersection(heldParts, parts));
+  }
+
   /** Returns what both report. */
   QuarantineNotices plus(QuarantineNotices other) {
     if (other.equals(NONE)) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerNotices.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerNotices.java
@@ -1,5 +1,6 @@
 package org.guavagw.gateway.internal.peers;
 
+import com.google.common.collect.Maps;
 import com.google.common.collect.Sets;
 import java.util.HashMap;
 import java.util.Map;
@@ -46,6 +47,31 @@
         || !full.containsAll(next.full);
   }
 
+  /**
+   * Returns what of these notices others must be notified of at once, with all that is needed to
+   * understand it.
+   *
+   * @param known what the others were notified of before
+   */
+  public ServerNotices urgentSince(ServerNotices known) {
+    Set<String> nextFull = Set.copyOf(Sets.difference(full, known.full));
+    return new ServerNotices(
+        Set.of(),
+        Map.of(),
+        Maps.filterKeys(brittle, nextFull::contains),
+        nextFull,
+        quarantine.newSuspectsSince(known.quarantine));
+  }
+
+  /** Returns about how many bytes this takes in a message. */
+  long approximateBytes() {
+    return MessageSizes.ofNames(leaving)
+        + MessageSizes.ofNumbers(requestLimits.keySet())
+        + MessageSizes.ofNumbers(brittle.keySet())
+        + MessageSizes.ofNames(full)
+        + quarantine.approximateBytes();
+  }
+
   // The generated method links method handles on first use, which slows down the start.
   @Override
   public boolean equals(Object other) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerWork.java
@@ -32,9 +32,15 @@
     return byIncarnation.hashCode();
   }
 
-  /** Returns about how many bytes this takes in a message, without the notices. */
+  /** Returns notices without any work. */
+  public static ServerWork ofNotices(ServerNotices notices) {
+    return new ServerWork(Map.of(), notices);
+  }
+
+  /** Returns about how many bytes this takes in a message. */
   public long approximateBytes() {
-    return byIncarnation.keySet().stream().mapToLong(name -> name.length() + WORK_BYTES).sum();
+    long work = byIncarnation.keySet().stream().mapToLong(name -> name.length() + WORK_BYTES).sum();
+    return work + notices.approximateBytes();
   }
 
   /** Returns the work at a backend server. */
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PeerWorkReports.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/PeerWorkReports.java
@@ -29,6 +29,7 @@
   private Received summary = new Received("", ServerWork.NONE, 0);
   private WorkSource source = WorkSource.ENTRIES;
   private Set<String> localPeers = Set.of();
+  private String localDataCentre = "";
   private ServerWork total = ServerWork.NONE;
   private boolean outdated;
   private long version;
@@ -40,6 +41,7 @@
     outdated |= nextSource != source || !peers.equals(localPeers);
     source = nextSource;
     localPeers = peers;
+    localDataCentre = members.localDataCentre();
   }
 
   void onReport(String entry, WorkReport report, long nowNanos) {
@@ -47,7 +49,11 @@
     onReceived(nowNanos);
   }
 
+  /** Takes the work of another data centre; that of this one is known from its entries. */
   void onDataCentreWork(String hub, DataCentreWork report, long nowNanos) {
+    if (report.dataCentre().equals(localDataCentre)) {
+      return;
+    }
     byDataCentre.put(report.dataCentre(), new Received(hub, report.work(), nowNanos));
     onReceived(nowNanos);
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/SummarySchedule.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/SummarySchedule.java
@@ -8,7 +8,7 @@
  *
  * <p>Handles hubs with many followers and slow links, which the requests of their own callers
  * share: the summaries take a part of the link at most, unless the longest interval is too short
- * for that. Immutable.
+ * for that. Urgent notices travel alone and are not bounded here. Immutable.
  */
 final class SummarySchedule {
   /** Part of the link that summaries may take; the rest is for requests and the control state. */
@@ -48,7 +48,7 @@
     return interval;
   }
 
-  /** Returns how many followers are sent a summary at a time, but for urgent ones. */
+  /** Returns how many followers are sent a summary at a time. */
   int receiversPerTick() {
     return receiversPerTick;
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/placement/WorkReportSender.java
@@ -29,7 +29,10 @@
  * of these entries a summary of all others, and sends the work of its data centre to the hubs of
  * other data centres. The number of messages thus grows linearly with the number of entries. A sum
  * is never added to another sum by its receiver, so that work cannot be counted twice while entries
- * disagree on the hub. Confined to the traffic thread.
+ * disagree on the hub.
+ *
+ * <p>Urgent notices go out at once. A hub sends them to its followers without the work, each once
+ * while it is urgent, so that they take little of its link. Confined to the traffic thread.
  */
 public final class WorkReportSender {
   /** Interval between calls of {@link #tick}; short compared with the duration of a request. */
@@ -57,6 +60,7 @@
   private final BiConsumer<String, PeerMessage> send;
   private final long linkBytesPerSecond;
   private final Map<String, Sent> sent = new HashMap<>();
+  private final Map<String, ServerNotices> notified = new HashMap<>();
 
   /**
    * Creates a sender.
@@ -80,7 +84,7 @@
     this.linkBytesPerSecond = linkBytesPerSecond;
   }
 
-  /** Sends the reports that are due, and all with urgent notices. */
+  /** Sends the reports that are due, and urgent notices. */
   public void tick(long nowNanos) {
     Members known = members.get();
     ServerWork own = loads.ownWork(notices.apply(nowNanos));
@@ -111,8 +115,8 @@
   private void sendAsHub(Members known, ServerWork own, long nowNanos) {
     PeerWorkReports reports = loads.peerReports();
     ServerWork all = own.plus(reports.total());
-    sendSummaries(known.localPeers(), all, nowNanos);
     String dataCentre = known.localDataCentre();
+    sendSummaries(dataCentre, known.localPeers(), all, nowNanos);
     ServerWork ofDataCentre = own.plus(reports.ofLocalPeers());
     known
         .remoteMembers()
@@ -129,19 +133,28 @@
                                 nowNanos)));
   }
 
-  private void sendSummaries(Set<String> receivers, ServerWork all, long nowNanos) {
+  private void sendSummaries(
+      String dataCentre, Set<String> receivers, ServerWork all, long nowNanos) {
     SummarySchedule schedule = SummarySchedule.of(all, receivers.size(), linkBytesPerSecond);
     int left = schedule.receiversPerTick();
     for (String receiver : receivers) {
-      boolean due = left > 0 && isDue(receiver, schedule.interval(), nowNanos);
-      if (due || isUrgent(receiver, all)) {
+      if (left > 0 && isDue(receiver, schedule.interval(), nowNanos)) {
         ServerWork others = all.minus(loads.peerReports().ofEntry(receiver));
         sendIfDue(receiver, others, WorkSummary::new, schedule.interval(), nowNanos);
-        left -= due ? 1 : 0;
+        left--;
+      } else if (isUrgent(receiver, all)) {
+        sendUrgentNotices(dataCentre, receiver, all.notices());
       }
     }
   }
 
+  /** Sends new urgent notices as work of this data centre, of which the receiver uses no work. */
+  private void sendUrgentNotices(String dataCentre, String receiver, ServerNotices next) {
+    ServerNotices urgent = next.urgentSince(notifiedOf(receiver));
+    notified.put(receiver, next);
+    send.accept(receiver, new DataCentreWork(dataCentre, ServerWork.ofNotices(urgent)));
+  }
+
   /** Returns the entry that reports for a data centre, or the likely ones if none does. */
   private List<String> hubsOf(String dataCentre, List<Member> ranked) {
     PeerWorkReports reports = loads.peerReports();
@@ -164,6 +177,7 @@
       long nowNanos) {
     if (isDue(receiver, work, minInterval, nowNanos)) {
       sent.put(receiver, new Sent(work, nowNanos));
+      notified.put(receiver, work.notices());
       send.accept(receiver, message.apply(work));
     }
   }
@@ -180,9 +194,11 @@
   }
 
   private boolean isUrgent(String receiver, ServerWork work) {
-    Sent last = sent.get(receiver);
-    ServerNotices known = last == null ? ServerNotices.NONE : last.work().notices();
-    return known.areOutdatedBy(work.notices());
+    return notifiedOf(receiver).areOutdatedBy(work.notices());
+  }
+
+  private ServerNotices notifiedOf(String receiver) {
+    return notified.getOrDefault(receiver, ServerNotices.NONE);
   }
 
   /** Work and the monotonic time at which it was sent. Immutable. */
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/WorkReportSenderTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.Set;
 import org.guavagw.gateway.internal.ManualClock;
@@ -41,6 +42,8 @@
 class WorkReportSenderTest {
   private static final BackendServer SERVER = Samples.server("w1", "dc1", "v1");
 
+  private static final RequestTraits SUSPECT = new RequestTraits("suspect", List.of());
+
   private static final int MAX_CONNECTIONS = 600;
 
   private final ManualClock clock = new ManualClock();
@@ -206,6 +209,45 @@
                 .isPresent());
   }
 
+  @Test
+  void shouldKeepTheWorkThatIsKnownWhenNotifiedAtOnce() {
+    startWithSummariesSent();
+    List<Integer> known = inFlightAtEntries();
+
+    entries.get(1).quarantine.onServerEnded("ended", SUSPECT, clock.read());
+    sendUrgentReports();
+
+    assertThat(known).allMatch(n -> n >= 20);
+    assertThat(inFlightAtEntries()).isEqualTo(known);
+  }
+
+  @Test
+  void shouldNotTakeTheWorkForReportedAnewWhenNotifiedAtOnce() {
+    startWithSummariesSent();
+    Entry follower = entries.get(entries.get(0).isHub() ? 1 : 0);
+    Duration age = follower.loads.at(SERVER, clock.read()).reportAge();
+    clock.advance(Duration.ofMillis(50));
+
+    entries.get(2).quarantine.onServerEnded("ended", SUSPECT, clock.read());
+    sendUrgentReports();
+
+    assertThat(follower.quarantine.untilAllowed(SUSPECT, false, clock.read())).isPresent();
+    assertThat(follower.loads.at(SERVER, clock.read()).reportAge()).isEqualTo(age.plusMillis(50));
+  }
+
+  @Test
+  void shouldNotifyOfACrashSuspectOnce() {
+    startWithSummariesSent();
+    entries.get(1).quarantine.onServerEnded("ended", SUSPECT, clock.read());
+    sendUrgentReports();
+    entries.forEach(e -> e.sender.tick(clock.read()));
+    messages = 0;
+
+    entries.forEach(e -> e.sender.tick(clock.read()));
+
+    assertThat(messages).isZero();
+  }
+
   private static ServerWork work(int running, double waitingMillis) {
     return new ServerWork(
         Map.of(SERVER.incarnation(), new Work(running, waitingMillis)), ServerNotices.NONE);
@@ -223,6 +265,19 @@
     all.forEach(m -> entries.add(new Entry(m.name())));
   }
 
+  /** Starts entries, two requests each, of which a hub has sent a summary a moment ago. */
+  private void startWithSummariesSent() {
+    start(20);
+    entries.forEach(e -> e.send(1));
+    run(Duration.ofSeconds(1));
+    entries.forEach(e -> e.send(1));
+    run(WorkReportSender.PERIOD.multipliedBy(2));
+  }
+
+  private List<Integer> inFlightAtEntries() {
+    return entries.stream().map(e -> e.loads.totalInFlight(SERVER)).toList();
+  }
+
   private void run(Duration time) {
     for (long t = 0; t < time.toMillis(); t += WorkReportSender.PERIOD.toMillis()) {
       clock.advance(WorkReportSender.PERIOD);
@@ -285,6 +340,10 @@
       quarantine.onNotices(notices.quarantine(), nowNanos);
     }
 
+    private boolean isHub() {
+      return hubs.hub().equals(Optional.of(name));
+    }
+
     private void receive(String from, PeerMessage message) {
       if (message instanceof WorkReport report) {
         receiver.onReport(from, report);
