Report the sessions of a rollout to the entries of all data centres

Cause: an entry reported the sessions that it served to the entries of its own data centre and to the evaluators. A later request of a session may come to another data centre, where the session is then new.

Change: all other entries get the reports.

Tried before, without effect: sessions known from the sending of a request on.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/SessionReporter.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/rollout/SessionReporter.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -11,6 +10,7 @@
 import java.util.function.Supplier;
 import org.guavagw.gateway.internal.control.ControlView;
 import org.guavagw.gateway.internal.peers.Members;
+import org.guavagw.gateway.internal.peers.Members.Member;
 import org.guavagw.gateway.internal.peers.PeerMessenger;
 import org.guavagw.gateway.internal.peers.SessionReport;
 import org.guavagw.gateway.model.RolloutOrder;
@@ -61,10 +61,12 @@
   }
 
   private void send(String version, Set<String> sessions) {
-    Members known = members.get();
-    Set<String> receivers = new HashSet<>(known.localPeers());
-    known.evaluators().forEach(m -> receivers.add(m.name()));
-    receivers.remove(known.self());
-    receivers.forEach(entry -> peers.send(entry, new SessionReport(version, sessions)));
+    SessionReport report = new SessionReport(version, sessions);
+    receivers(members.get()).forEach(entry -> peers.send(entry, report));
+  }
+
+  /** Returns all other entries, as sessions move between data centres, too. */
+  static List<String> receivers(Members known) {
+    return known.others().stream().map(Member::name).toList();
   }
 }
