--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerRateLimits.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/ServerRateLimits.java
@@ -165,7 +165,7 @@
 
   /** What is known of the rate of one backend server, and when the next request may be sent. */
   private static final class Limit {
-    /** The server as it was started when it last answered; null if it was only told of. */
+    /** The server as it was started when it last answered; null if only others reported on it. */
     private BackendServer server;
 
     private OptionalDouble stated = OptionalDouble.empty();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLifecycle.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/ExchangeLifecycle.java
@@ -4,7 +4,7 @@
  * Where an exchange stands. Traffic thread only.
  *
  * <p>Invariant: an exchange that has ended stays so; one that another entry serves gets active
- * again only by being taken back; whoever comes second is told so.
+ * again only by being taken back; whoever comes second gets {@code false}.
  */
 final class ExchangeLifecycle {
   private State state = State.ACTIVE;
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/HubReportsTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/placement/HubReportsTest.java
@@ -78,7 +78,7 @@
         .isLessThanOrEqualTo(MAX_LINK_PART * TIME.toSeconds());
   }
 
-  /** Each tick another server has turned a request away, of which others are told for 500 ms. */
+  /** Each tick another server has turned a request away, which is reported for 500 ms. */
   private ServerNotices fullServers(long nanos) {
     long tick = nanos / WorkReportSender.PERIOD.toNanos();
     Set<String> full = new HashSet<>();
