Forward a request whose silent server can't be reached from here

Callers saw a stream that had begun broken off at its deadline, and other requests time out, although another entry could have served them. It happened where the entry was partitioned while it still had an open connection to the only server left to it, as after the check of a server that had just reset the stream: the stream was sent again on that connection and not answered.

Cause, two parts. An attempt without an answer was given up only if this entry had another backend server for it; that another entry might have one wasn't considered. And it counted as late (from 350 ms at an objective of 500 ms) before the server's reachability was checked (from 400 ms), and as stuck later on; in both cases the check was left out, so that the entry didn't learn that it was cut off: the log has no service_unreachable until the deadline.

ForwardingPolicy, taken out of Exchange, now decides both whether a request that finds no server here is forwarded and whether a pending attempt may be given up for that. The attempt is given up if nothing was received from its server for 400 ms, the check finds the server unreachable, the entry is cut off or a connection of the request has failed, the limits allow another attempt, and an entry is known that may be asked. Otherwise it goes on as before.

Evidence: PartitionedEntryTest. Five new cases fail on the code before and hold now: a stream that is reset and not answered on its second connection, and requests whose only server falls silent. Two further cases, in which no other entry reaches a server, hold before and after: the attempt is kept and its late answer passed on.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/Exchange.java
@@ -37,6 +37,7 @@
   private final StalledAttemptMonitor monitor;
   private final CallerStream stream;
   private final AttemptCounts counts;
+  private final ForwardingPolicy forwardingPolicy;
   private final ExchangeLifecycle lifecycle = new ExchangeLifecycle();
   private final Set<String> triedIncarnations = new HashSet<>();
   private final RequestPlan plan;
@@ -46,7 +47,6 @@
   private Attempt attempt;
   private AnswerForwarder forwarder;
   private boolean firstAttemptSent;
-  private boolean connectionsFailed;
   private ForwardedExchange forwarded;
   private int attemptCount;
 
@@ -64,9 +64,10 @@
     this.plan = RequestPlan.of(request);
     this.planner = new AttemptPlanner(shared, request, plan);
     this.sender = new AttemptSender(shared, request, plan, log);
-    this.monitor = new StalledAttemptMonitor(shared, request, this);
     this.outcomes = new OutcomeReporter(shared, request, plan);
     this.counts = AttemptCounts.of(request, shared.retryBudgets().apply(plan.service()));
+    this.forwardingPolicy = new ForwardingPolicy(shared, request, plan, counts);
+    this.monitor = new StalledAttemptMonitor(shared, request, forwardingPolicy, this);
     this.stream = new CallerStream(sink, shared.format(), request.caller().resumeAfter());
     this.model = shared.models().initialModel(request.route(), request.caller());
     this.deadlineTimer = shared.runAt(plan.deadlineNanos(), this::onTimeout);
@@ -113,10 +114,9 @@
       return false;
     }
     Optional<BackendServer> chosen = placement.chosen();
-    boolean mayForward = !request.forwarded() && counts.allowsAnother();
     if (chosen.isPresent()) {
       startAttempt(chosen.get(), now);
-    } else if ((cutOff || connectionsFailed) && mayForward) {
+    } else if (forwardingPolicy.mayForward()) {
       forward();
     } else if (stream.started() && counts.allowsAnother()) {
       tryAgainLater();
@@ -366,7 +366,7 @@
     log.attemptFailed(progress, failure, stream.events());
     outcomes.reportAttemptFailure(progress, model, failure, now);
     counts.onFailed(progress, failure);
-    connectionsFailed |= failure == AttemptFailure.UNREACHABLE;
+    forwardingPolicy.onAttemptFailed(failure);
     AttemptProgress failed = progress;
     endAttempt();
     if (failure.mayHaveRun() && !request.route().safeToRetry()) {
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptMonitor.java
@@ -6,17 +6,24 @@
 
 /**
  * Checks the attempts of an exchange periodically and cancels those that are stalled if another
- * backend server can take over, and those that are likely to end their server. Reports those that
- * are slow while they still wait. Traffic thread only.
+ * backend server or, where this entry reaches none, another entry can take over, and those that are
+ * likely to end their server. Reports those that are slow while they still wait. Traffic thread
+ * only.
  */
 final class StalledAttemptMonitor {
   private final ExchangeDependencies shared;
   private final AdmittedRequest request;
+  private final ForwardingPolicy forwarding;
   private final Exchange exchange;
 
-  StalledAttemptMonitor(ExchangeDependencies shared, AdmittedRequest request, Exchange exchange) {
+  StalledAttemptMonitor(
+      ExchangeDependencies shared,
+      AdmittedRequest request,
+      ForwardingPolicy forwarding,
+      Exchange exchange) {
     this.shared = shared;
     this.request = request;
+    this.forwarding = forwarding;
     this.exchange = exchange;
   }
 
@@ -41,19 +48,29 @@
       return false;
     }
     exchange.reportIfVerySlow(now);
-    Optional<AttemptFailure> reason = cancellationReason(progress.get(), readUntil, now);
-    // If no retry is possible, the current attempt still has the best chance.
-    if (reason.isPresent() && exchange.retryTarget(now).isPresent()) {
-      exchange.cancelAttempt(reason.get());
-      return false;
-    }
-    return true;
+    StalledAttemptPolicy.Observation observation =
+        progress.get().observe(readUntil, now, exchange.deadlineNanos());
+    // If neither a retry nor another entry is possible, the attempt still has the best chance.
+    Optional<AttemptFailure> reason =
+        cancellationReason(progress.get(), observation, now)
+            .filter(r -> exchange.retryTarget(now).isPresent())
+            .or(() -> forwardingReason(progress.get(), observation, now));
+    reason.ifPresent(exchange::cancelAttempt);
+    return reason.isEmpty();
+  }
+
+  /** Checks late and stuck attempts, too, as this entry may be cut off from their server. */
+  private Optional<AttemptFailure> forwardingReason(
+      AttemptProgress progress, StalledAttemptPolicy.Observation observation, long now) {
+    return StalledAttemptPolicy.isServerSilent(observation)
+            && shared.reachability().isUnreachable(progress.server(), now)
+            && forwarding.mayReplace(progress, now)
+        ? Optional.of(AttemptFailure.SILENT)
+        : Optional.empty();
   }
 
   private Optional<AttemptFailure> cancellationReason(
-      AttemptProgress progress, long readUntil, long now) {
-    StalledAttemptPolicy.Observation observation =
-        progress.observe(readUntil, now, exchange.deadlineNanos());
+      AttemptProgress progress, StalledAttemptPolicy.Observation observation, long now) {
     return switch (StalledAttemptPolicy.evaluate(
         request.route(), request.caller().promptTokens(), observation)) {
       case WAIT -> Optional.empty();
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicy.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/StalledAttemptPolicy.java
@@ -85,13 +85,13 @@
         && observation.sinceSent().compareTo(observation.remaining()) > 0) {
       return Verdict.STUCK;
     }
-    Duration shorterSilence =
-        observation.silence().compareTo(observation.serverSilence()) < 0
-            ? observation.silence()
-            : observation.serverSilence();
-    return shorterSilence.compareTo(REACHABILITY_CHECK_DELAY) > 0
-        ? Verdict.CHECK_REACHABILITY
-        : Verdict.WAIT;
+    return isServerSilent(observation) ? Verdict.CHECK_REACHABILITY : Verdict.WAIT;
+  }
+
+  /** Returns whether so little is received that the backend server may not be reachable. */
+  static boolean isServerSilent(Observation observation) {
+    return observation.silence().compareTo(REACHABILITY_CHECK_DELAY) > 0
+        && observation.serverSilence().compareTo(REACHABILITY_CHECK_DELAY) > 0;
   }
 
   private static Duration answerLimit(Route route, int promptTokens, Observation observation) {
