Keep waiting for a brittle server that is as full as when it rejected

Entries sent to a brittle server 5 s after it had rejected a request of theirs, though they were to wait for up to 8 s and it still ran as many requests as then. A server that tolerates two rejections in a second could be sent three again and again.

The room at a rejection is assumed for 5 s. Afterwards the server counted as emptied with less than half of its usual slots taken, in place of half of that room; so each entry that had ever been rejected ignored the rest of its wait, and notices of the others too.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/BrittleServers.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/BrittleServers.java
@@ -169,7 +169,8 @@
     if (taken >= room) {
       return MIN_BACKOFF;
     }
-    boolean emptied = taken < room * EMPTIED_SHARE && state.room > 1;
+    // The room at the last rejection counts here also once requests are sent beyond it again.
+    boolean emptied = taken < Math.min(room, state.room) * EMPTIED_SHARE && state.room > 1;
     return state.isBackedOff(nowNanos) && !emptied
         ? Duration.ofNanos(state.backoffEndNanos - nowNanos)
         : Duration.ZERO;
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/limits/BrittleServersTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/limits/BrittleServersTest.java
@@ -16,6 +16,8 @@
 import org.guavagw.gateway.internal.Samples;
 import org.guavagw.gateway.model.BackendServer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class BrittleServersTest {
   /** Has eight slots. */
@@ -61,6 +63,19 @@
     assertThat(allows()).isTrue();
   }
 
+  @Test
+  void shouldWaitForTheWholeTimeIfTheServerIsAsFullAsWhenItRejected() {
+    state(1);
+    inFlight = 3;
+    brittle.onRejected(SERVER, clock.read());
+
+    clock.advance(Duration.ofSeconds(6));
+
+    assertThat(brittle.untilNext(SERVER, clock.read())).isEqualTo(Duration.ofSeconds(2));
+    inFlight = 1;
+    assertThat(allows()).isTrue();
+  }
+
   @Test
   void shouldWaitWhenAnotherEntryReportsARejection() {
     inFlight = 3;
@@ -146,6 +161,12 @@
     assertThat(falls).isLessThanOrEqualTo(2);
   }
 
+  @ParameterizedTest
+  @CsvSource({"-8741063049989690440, 39", "4614419257889835122, 3", "2752940648048000957, 31"})
+  void shouldKeepBelowTheStatedNumberThoughEntriesNoLongerKnowTheRoom(long seed, int entryCount) {
+    shouldKeepTheRejectionsOfAllEntriesBelowTheStatedNumber(seed, entryCount, 2);
+  }
+
   private void state(double tolerated) {
     brittle.onStatement(INCARNATION, OptionalDouble.of(tolerated), clock.read());
   }
