Let a tester wait as one though it is notified before it knows the server

A brittle server that tolerates two rejections in a second was sent three soon after its first one: by both testers and by another entry, which came back in the same second.

A notice names the server by its incarnation, and an entry learns whether it tests that server only when it first considers a request for it. Testers that were notified before waited as long as the others, 6 to 8 s in place of 3 to 5, and were not notified again while they waited. In two traced histories the notice came at 10 ms, one of the others sent at 6.7 and 7.2 s, and the testers, who had waited as long, within 0.9 s of it.

A tester now shortens such a wait when it first considers the server. The new test failed before (8 s in place of 4) and passes now.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/BrittleServers.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/BrittleServers.java
@@ -117,6 +117,14 @@
     return Math.min(MAX_BACKOFF.toNanos(), Math.max(MIN_BACKOFF.toNanos(), nanos));
   }
 
+  /** Shortens a wait that began when it was not known yet whether this entry tests the server. */
+  private void shortenBackoffOfTester(State state, long nowNanos) {
+    if (state.isBackedOff(nowNanos) && tests.test(state.server)) {
+      long nanos = backoffNanos(state, nowNanos);
+      state.backOff(Math.min(nanos, state.backoffEndNanos - nowNanos), nowNanos);
+    }
+  }
+
   /** Records what another entry reports of brittle servers, and of those that are full. */
   void onReport(Map<String, Double> brittle, Set<String> full, long nowNanos) {
     brittle.forEach(
@@ -163,7 +171,11 @@
     if (state == null || state.tolerated(nowNanos).isEmpty()) {
       return Duration.ZERO;
     }
+    boolean first = state.server == null;
     state.server = server;
+    if (first) {
+      shortenBackoffOfTester(state, nowNanos);
+    }
     int taken = inFlight.applyAsInt(server);
     int room = state.room(server, nowNanos);
     if (taken >= room) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/limits/BrittleServersTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/limits/BrittleServersTest.java
@@ -87,6 +87,15 @@
     assertThat(allows()).isFalse();
   }
 
+  @Test
+  void shouldWaitAsATesterThoughItIsNotifiedBeforeItKnowsTheServer() {
+    inFlight = 3;
+    brittle.onReport(Map.of(INCARNATION, 2.0), Set.of(INCARNATION), clock.read());
+
+    assertThat(brittle.untilNext(SERVER, clock.read())).isEqualTo(Duration.ofSeconds(4));
+    assertThat(brittle.untilNext(SERVER, clock.read())).isEqualTo(Duration.ofSeconds(4));
+  }
+
   @Test
   void shouldForgetWhatAnotherEntryReportedOnceItNoLongerDoes() {
     inFlight = 8;
