Check the budget's bound in each try of its property

SlicedBudgetLimiterTest#shouldNeverOverspendBeyondOverdraftUnderFaults checked almost nothing after its first tries: jqwik uses one instance for all of them, so that the number of incarnations added up and the bound rose with it (1.25 million in the first try, 13 million in the 50th, about 1.0 to 1.1 million spent, as traced with seed 5), and the clock moved past midnight. Each try now begins anew, which is stricter.

--- a/guavagw-core/src/test/java/org/guavagw/internal/budget/SlicedBudgetLimiterTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/budget/SlicedBudgetLimiterTest.java
@@ -21,7 +21,7 @@
   private static final BudgetSettings SETTINGS = BudgetSettings.standard();
   private static final long TOTAL_OVERDRAFT = (long) (BUDGET * SETTINGS.overdraftFraction());
 
-  private final ManualClocks time = new ManualClocks();
+  private ManualClocks time = new ManualClocks();
   private final ScriptedTable table = new ScriptedTable(new InMemoryTableService());
   private int incarnations;
 
@@ -129,6 +129,9 @@
 
   @Property(tries = 50, seed = "5")
   void shouldNeverOverspendBeyondOverdraftUnderFaults(@ForAll long seed) {
+    // the tries of a property share one instance
+    incarnations = 0;
+    time = new ManualClocks();
     Random random = new Random(seed);
     ScriptedTable store = new ScriptedTable(new InMemoryTableService());
     List<ScriptedTable> views = new ArrayList<>();
