Hold all requests that waited on the same three servers that ended

Requests that end backend servers were sent to more of them, four in 0.3 s in the history traced, though three had ended under the same request. Cause: a sound request that is sent again lands on the same servers now and then. With two requests that waited on the same three servers, the one with the higher fingerprint was taken for the cause, and the servers that it explains no longer counted against the other. Change: all requests that waited on exactly these servers are held, from three servers on, as the class says of so many ends. With two servers none is, as before.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/quarantine/CulpritFinder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/quarantine/CulpritFinder.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.guavagw.gateway.internal.peers.CrashSuspect;
@@ -17,7 +17,8 @@
  *
  * <p>A server that ends takes requests with it that have nothing to do with its end, and a request
  * that ends servers has parts that are sound. The request or part that was waited for on most of
- * the servers is taken first; the servers that it explains no longer count against others.
+ * the servers is taken first, and with a request all others that waited on exactly these servers if
+ * there are decisively many; the servers that it explains no longer count against others.
  * Stateless.
  */
 final class CulpritFinder {
@@ -56,17 +57,18 @@
     Set<String> requests = new HashSet<>();
     Set<String> parts = new HashSet<>();
     List<CrashSuspect> unexplained = new ArrayList<>(suspects);
-    Optional<Tally> next = worst(unexplained, soundRequest, soundPart);
-    while (next.isPresent()) {
-      Tally culprit = next.get();
+    List<Tally> candidates = candidates(unexplained, soundRequest, soundPart);
+    while (!candidates.isEmpty()) {
+      Tally culprit = Collections.max(candidates, BY_EVIDENCE);
       (culprit.isRequest ? requests : parts).add(culprit.id);
+      candidates.stream().filter(t -> isAsLikely(t, culprit)).forEach(t -> requests.add(t.id));
       unexplained.removeIf(s -> culprit.servers.contains(s.incarnation()));
-      next = worst(unexplained, soundRequest, soundPart);
+      candidates = candidates(unexplained, soundRequest, soundPart);
     }
     return new Culprits(requests, parts);
   }
 
-  private static Optional<Tally> worst(
+  private static List<Tally> candidates(
       List<CrashSuspect> suspects, Predicate<String> soundRequest, Predicate<String> soundPart) {
     Map<String, Tally> byRequest = new HashMap<>();
     Map<String, Tally> byPart = new HashMap<>();
@@ -87,7 +89,15 @@
         .filter(t -> isEligible(t, byRequest.values()))
         .forEach(candidates::add);
     byPart.values().stream().filter(CulpritFinder::isEligiblePart).forEach(candidates::add);
-    return candidates.stream().max(BY_EVIDENCE);
+    return candidates;
+  }
+
+  /** Returns whether a request waited on the same servers as the one that was taken. */
+  private static boolean isAsLikely(Tally other, Tally culprit) {
+    return culprit.isRequest
+        && other.isRequest
+        && other.servers.size() >= DECISIVE_SERVERS_OF_REQUEST
+        && other.servers.equals(culprit.servers);
   }
 
   private static boolean isEligible(Tally request, Collection<Tally> all) {
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/quarantine/CulpritFinderTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/quarantine/CulpritFinderTest.java
@@ -52,6 +52,16 @@
         .isEqualTo(new Culprits(Set.of("p1"), Set.of()));
   }
 
+  @Test
+  void shouldAccuseBothRequestsThatWaitedOnTheSameThreeServers() {
+    for (String server : List.of("s1", "s2", "s3")) {
+      suspect(server, "p1");
+      suspect(server, "p2");
+    }
+
+    assertThat(find()).isEqualTo(new Culprits(Set.of("p1", "p2"), Set.of()));
+  }
+
   @Test
   void shouldAccuseTheRequestThatEndedAThirdServerAndNotWhatWaitedBesideIt() {
     for (String server : List.of("s1", "s2", "s3")) {
