--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/BrittleServers.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/limits/BrittleServers.java
@@ -181,7 +181,7 @@
     if (taken >= room) {
       return MIN_BACKOFF;
     }
-    // The room at the last rejection counts here also once requests are sent beyond it again.
+    // Requests may exceed the room at the last rejection before the wait for it has ended.
     boolean emptied = taken < Math.min(room, state.room) * EMPTIED_SHARE && state.room > 1;
     return state.isBackedOff(nowNanos) && !emptied
         ? Duration.ofNanos(state.backoffEndNanos - nowNanos)
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerNotices.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/peers/ServerNotices.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 
 /**
- * What entries tell one another of backend servers beside the work there. Immutable.
+ * What entries report to one another of backend servers beside the work there. Immutable.
  *
  * <p>Notices of several entries are joined on their way; each is true on its own, so it does no
  * harm that one arrives twice.
@@ -25,7 +25,7 @@
     Map<String, Double> brittle,
     Set<String> full,
     QuarantineNotices quarantine) {
-  /** Nothing to tell. */
+  /** Nothing to report. */
   public static final ServerNotices NONE =
       new ServerNotices(Set.of(), Map.of(), Map.of(), Set.of(), QuarantineNotices.NONE);
 
@@ -88,7 +88,7 @@
     return leaving.hashCode();
   }
 
-  /** Returns what both tell. */
+  /** Returns what both report. */
   ServerNotices plus(ServerNotices other) {
     if (other.equals(NONE)) {
       return this;
