Take an answer as whole only once its end was read

Cause: an answer without a length ends with its connection, and any close of the connection that came without a read error counted as that end. A reset is noticed by a write first while the request is still being written; the transport then closes the connection without an error for its reader, and the decoder added the end of the answer.

Change: AnswerDecoder asks the transport to report the end of the input and completes such an answer only after that report. A connection that is closed for another reason (a write that failed, a stop of this process) leaves the answer incomplete, which BackendConnection reports as broken. The check of read errors in BackendConnection is part of that now. The connections to the store use the same decoder.

--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/AnswerDecoder.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/AnswerDecoder.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -12,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 
 /**
  * Decodes the answers on one connection, as strictly as {@link AnswerFraming} says, and knows of
@@ -19,7 +22,9 @@
  *
  * <p>Invariants: bytes that arrive while no request is pending are never decoded, so that they
  * can't join the next answer; in place of the rest of an answer whose end is not certain comes an
- * answer with a failed decoder result. Confined to the event loop of its connection.
+ * answer with a failed decoder result; an answer that ends with its connection is complete only if
+ * the end of what the peer sent was read, not if the connection was closed for any other reason,
+ * such as a write that failed. Confined to the event loop of its connection.
  */
 public final class AnswerDecoder extends HttpResponseDecoder {
   private static final AnswerFraming TO_HEAD = new AnswerFraming(true);
@@ -30,6 +35,8 @@
   private boolean requestPending;
   private boolean headRequest;
   private boolean surplusBytes;
+  private boolean endOfInputRead;
+  private boolean errorSeen;
 
   /**
    * Creates a decoder that expects no answer yet.
@@ -61,6 +68,12 @@
     return scanner.incompleteBytes() + whole.capacity();
   }
 
+  /** Asks the transport to report the end of the input in place of closing the connection. */
+  @Override
+  public void handlerAdded(ChannelHandlerContext ctx) {
+    ctx.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+  }
+
   @Override
   protected void handlerRemoved0(ChannelHandlerContext ctx) throws Exception {
     super.handlerRemoved0(ctx);
@@ -97,6 +110,31 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) throws Exception {
+    if (event instanceof ChannelInputShutdownEvent) {
+      endOfInputRead = !errorSeen;
+      var unused = ctx.close();
+      return;
+    }
+    super.userEventTriggered(ctx, event);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) throws Exception {
+    errorSeen = true;
+    super.exceptionCaught(ctx, cause);
+  }
+
+  /** Adds the end of an answer that ends with its connection only if that end was read. */
+  @Override
+  protected void decodeLast(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+      throws Exception {
+    if (endOfInputRead || !scanner.endsWithConnection()) {
+      super.decodeLast(ctx, in, out);
+    }
+  }
+
   private AnswerFraming rules() {
     return headRequest ? TO_HEAD : TO_OTHERS;
   }
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/framing/FramingScanner.java
@@ -110,6 +110,11 @@
     return state == State.COMPLETE;
   }
 
+  /** Returns whether the message that has begun ends with its connection. */
+  boolean endsWithConnection() {
+    return state == State.UNTIL_CLOSE;
+  }
+
   /** Returns what is wrong with the byte at which the scanner has stopped, if it has. */
   Optional<FramingFault> fault() {
     return Optional.ofNullable(fault);
--- a/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
+++ b/guavagw-gateway/src/main/java/org/guavagw/gateway/internal/relay/BackendConnection.java
@@ -31,9 +31,8 @@
  * <p>Invariants: an answer reaches the listener only if it names the pending request; on the first
  * use of the connection, and on those to other entries, it may also name none. An answer that names
  * another request is read and dropped, as long as these are few, and the connection is not used
- * again, nor after bytes that belong to no answer. An answer that ends with its connection is
- * complete only if the connection was closed without an error. What an incomplete head holds is
- * within the limit of all connections.
+ * again, nor after bytes that belong to no answer. What an incomplete head holds is within the
+ * limit of all connections.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class BackendConnection extends ChannelInboundHandlerAdapter {
@@ -60,7 +59,6 @@
   private IgnoredAnswers ignored = new IgnoredAnswers();
   private boolean requestSent;
   private boolean reusable = true;
-  private boolean errored;
   private boolean received;
   private boolean closed;
   private boolean reused;
@@ -235,10 +233,6 @@
     if (listener == null || !receivingAnswer) {
       return;
     }
-    if (last && errored) {
-      fail(AttemptFailure.BROKEN);
-      return;
-    }
     if (content.content().isReadable()) {
       listener.onContent(content.content());
     }
@@ -324,7 +318,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    errored = true;
     fail(brokenOrStale());
   }
 
