Show that an answer with status 000 reaches no caller

Here AnswerFraming takes three digits from 100 to 599 only, and any other status line makes the answer unusable, so that nothing in the product changes.

--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
@@ -39,6 +39,12 @@
   @ParameterizedTest
   @ValueSource(
       strings = {
+        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 000\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.0 000 X\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 000 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 000 X\r\n\r\n",
+        "HTTP/1.1 100 X\r\n\r\nHTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 20 X\r\nContent-Length: 0\r\n\r\n",
