Show that an answer with an invalid field name reaches no caller

Here FieldLines takes tokens only, in final and interim heads and in trailers, so that nothing in the product changes.

--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerFramingTest.java
@@ -76,6 +76,46 @@
     assertThat(read(answer, HttpMethod.POST)).isEqualTo("refused");
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X A",
+        "X-A ",
+        "X-A\t",
+        " X-A",
+        "\tX-A",
+        "X-\u0000A",
+        "\u0001X-A",
+        "X-A\u001f",
+        "X-A\u007f",
+        "X-\u000bA",
+        "",
+        "Content-Length ",
+        "Content Length",
+        "Content\u0000-Length",
+        "Transfer-Encoding ",
+        "Transfer-Encoding\u0001"
+      })
+  void shouldRefuseAnAnswerWithAFieldNameThatIsNotValid(String name) {
+    String line = name + ": 1\r\n";
+
+    assertThat(read("HTTP/1.1 200 X\r\nContent-Length: 1\r\n" + line + "\r\na", HttpMethod.POST))
+        .isEqualTo("refused");
+    assertThat(read("HTTP/1.1 200 X\r\n" + line + "X-B: b\r\n\r\na", HttpMethod.POST))
+        .isEqualTo("refused");
+    assertThat(
+            read(
+                "HTTP/1.1 103 X\r\n" + line + "\r\nHTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n",
+                HttpMethod.POST))
+        .isEqualTo("refused");
+    assertThat(
+            read(
+                "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + line + "\r\n",
+                HttpMethod.POST))
+        .isEqualTo("refused");
+    assertThat(read("HTTP/1.1 200 X\r\n" + line + "\r\n", HttpMethod.HEAD)).isEqualTo("refused");
+  }
+
   @Test
   void shouldReadAnAnswerToAHeadRequestWithoutABody() {
     assertThat(read("HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\n", HttpMethod.HEAD))
