Refuse a part of an answer of a plain service as the whole

Cause: OkHttp reads the answer although the request could not be written to its end. The write that fails uses up the socket's error, so that the read after it ends as after an orderly close.

Change: AnswerEndCheck, a network interceptor that is also the client's event listener, fails a call whose request could not be written if its answer ends with its connection. An answer with a length or chunks proves its own end.

--- a/guavagw-core/src/main/java/org/guavagw/internal/engine/ConnectionPools.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/engine/ConnectionPools.java
@@ -10,7 +10,8 @@
 
 /**
  * Provides an HTTP client with a separate connection pool for each backend server, so that the
- * connections to one can be dropped without affecting the others. Thread-safe.
+ * connections to one can be dropped without affecting the others. The clients fail calls whose
+ * answer is not valid or not certain to be whole. Thread-safe.
  */
 public final class ConnectionPools implements AutoCloseable {
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
@@ -23,8 +24,11 @@
 
   /** Creates pools whose reads and writes time out after a time without progress. */
   public ConnectionPools(Duration silenceTimeout) {
+    AnswerEndCheck endCheck = new AnswerEndCheck();
     base =
         new OkHttpClient.Builder()
+            .addNetworkInterceptor(endCheck)
+            .eventListener(endCheck)
             .dispatcher(dispatcher)
             .connectTimeout(CONNECT_TIMEOUT)
             .readTimeout(silenceTimeout)
