Refuse an answer of a plain service whose status is 000

Cause: OkHttp takes any three digits for a status, and HttpServiceClient passed it on.

Change: AnswerHeadCheck, a network interceptor of all clients of backend servers, fails calls whose final status is not from 200 to 599.

Evidence: without the change the five cases of HttpServiceClientTest with 000, 099 and 600 fail; with it they hold.

--- a/guavagw-core/src/main/java/org/guavagw/internal/engine/ConnectionPools.java
+++ b/guavagw-core/src/main/java/org/guavagw/internal/engine/ConnectionPools.java
@@ -27,6 +27,7 @@
     AnswerEndCheck endCheck = new AnswerEndCheck();
     base =
         new OkHttpClient.Builder()
+            .addNetworkInterceptor(new AnswerHeadCheck())
             .addNetworkInterceptor(endCheck)
             .eventListener(endCheck)
             .dispatcher(dispatcher)
--- a/guavagw-core/src/test/java/org/guavagw/internal/service/HttpServiceClientTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/service/HttpServiceClientTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A service sends an answer of which a caller must get nothing, or all. */
 class HttpServiceClientTest {
@@ -30,6 +31,8 @@
   /** Long enough for what was sent before to be read. */
   private static final Duration PAUSE = Duration.ofMillis(20);
 
+  private static final String LENGTH = "Content-Length: 5\r\n\r\nwhole";
+
   private final ExecutorService thread = Executors.newSingleThreadExecutor();
   private final ConnectionPools pools = new ConnectionPools(TIME_LEFT);
   private final HttpServiceClient client = new HttpServiceClient(pools);
@@ -63,6 +66,21 @@
     assertThat(call(uploadBytes, repeatable).get().body()).asString(ISO_8859_1).isEqualTo("whole");
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 000 OK\r\n",
+        "HTTP/1.1 000\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
+        "HTTP/1.1 099 X\r\n",
+        "HTTP/1.1 600 X\r\n"
+      })
+  void shouldNotReadAnAnswerWithAnInvalidStatus(String head) {
+    answerOnce(head + LENGTH, false);
+
+    assertThat(call(0, true).isLeft()).isTrue();
+  }
+
   private Either<EngineFailure, ServiceAnswer> call(int uploadBytes, boolean repeatable) {
     return client.call(
         new BackendAddress("b1", "127.0.0.1", server.getLocalPort()),
