--- a/guavagw-core/src/test/java/org/guavagw/internal/service/HttpServiceClientTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/service/HttpServiceClientTest.java
@@ -81,6 +81,25 @@
     assertThat(call(0, true).isLeft()).isTrue();
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "X A: b",
+        "X-A : b",
+        "X-\u0000A: b",
+        "X-A\u0001: b",
+        "\u007fX-A: b",
+        " X-A: b",
+        ": b",
+        "Content-Length : 3",
+        "Transfer-Encoding : chunked"
+      })
+  void shouldNotReadAnAnswerWithAnInvalidFieldName(String line) {
+    answerOnce("HTTP/1.1 200 OK\r\n" + line + "\r\n" + LENGTH, false);
+
+    assertThat(call(0, true).isLeft()).isTrue();
+  }
+
   private Either<EngineFailure, ServiceAnswer> call(int uploadBytes, boolean repeatable) {
     return client.call(
         new BackendAddress("b1", "127.0.0.1", server.getLocalPort()),
