--- a/guavagw-core/src/test/java/org/guavagw/internal/service/HttpServiceClientTest.java
+++ b/guavagw-core/src/test/java/org/guavagw/internal/service/HttpServiceClientTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** A service sends an answer of which a caller must get nothing, or all. */
+/** Reads answers of a service that are cut off, have an invalid head or end with a connection. */
 class HttpServiceClientTest {
   private static final Duration TIME_LEFT = Duration.ofSeconds(5);
 
--- a/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerEndTest.java
+++ b/guavagw-gateway/src/test/java/org/guavagw/gateway/internal/framing/AnswerEndTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/** The connection of an answer that ends with it is closed for one reason or another. */
+/** Closes the connection of an answer without a length, by its end or for another reason. */
 class AnswerEndTest {
   private final AnswerDecoder decoder = new AnswerDecoder(new HttpDecoderConfig(), () -> {});
   private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new IgnoreErrors());
