Give the case of cut streams the number 12

Cause: graver and lesser cases were found since; the gravest comes first. Two runs at a time could take each other's ports.

Change: review/13 is review/12; each run reserves a range of ports; the stand-in of the store can come back from a copy and show rows of workers changed at a second address, for the other cases.

--- a/review/standins-3/src/org/guavagw/review3/Deployment.java
+++ b/review/standins-3/src/org/guavagw/review3/Deployment.java
@@ -72,7 +72,11 @@
   }
 
   Entry addEntry(String name, String zone) throws IOException {
-    Entry entry = new Entry(folder, name, zone, store.address(), ZONES);
+    return addEntry(name, zone, store.address());
+  }
+
+  Entry addEntry(String name, String zone, String storeAddress) throws IOException {
+    Entry entry = new Entry(folder, name, zone, storeAddress, ZONES);
     entries.add(entry);
     return entry;
   }
--- a/review/standins-3/src/org/guavagw/review3/Entry.java
+++ b/review/standins-3/src/org/guavagw/review3/Entry.java
@@ -1,5 +1,6 @@
 package org.guavagw.review3;
 
+import java.io.Closeable;
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStream;
@@ -7,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.URL;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -25,8 +27,16 @@
   private static final int FIRST_PORT = 12000;
 
   private static final int LAST_PORT = 31000;
+  private static final int PORTS_OF_A_RUN = 500;
+  private static final int PEER_PORTS = 4;
 
-  private static int nextPort = FIRST_PORT + (int) (ProcessHandle.current().pid() % 450) * 40;
+  /** Keeps the ports of this run from other runs; its own port is the first of them. */
+  private static final ServerSocket RESERVATION = reserve();
+
+  private static int nextPort = RESERVATION.getLocalPort() + 1;
+
+  /** Sockets that keep the addresses of machines that are gone from answering. */
+  private static final List<Closeable> HELD = new ArrayList<>();
 
   final String name;
   final int front;
@@ -44,7 +54,7 @@
     this.front = freePorts(1);
     this.ready = freePorts(1);
     this.metrics = freePorts(1);
-    this.peers = freePorts(16);
+    this.peers = freePorts(PEER_PORTS);
     this.settings = folder.resolve(name + ".yaml");
     StringBuilder zoneLines = new StringBuilder();
     zones.forEach(z -> zoneLines.append("  ").append(z).append(": \"jm-south\"\n"));
@@ -66,7 +76,7 @@
             "  ready: \"127.0.0.1:" + ready + "\"",
             "port_range:",
             "  - " + peers,
-            "  - " + (peers + 15),
+            "  - " + (peers + PEER_PORTS - 1),
             "seeds: []",
             "bootstrap: true",
             "limits:",
@@ -119,13 +129,21 @@
             ""));
   }
 
-  private static synchronized int freePorts(int count) {
-    while (true) {
+  private static ServerSocket reserve() {
+    for (int first = FIRST_PORT; first < LAST_PORT; first += PORTS_OF_A_RUN) {
+      try {
+        return new ServerSocket(first, 1, InetAddress.getByName(LOOPBACK));
+      } catch (IOException e) {
+        // another run has it
+      }
+    }
+    throw new IllegalStateException("no ports are free");
+  }
+
+  private static synchronized int freePorts(int count) throws IOException {
+    while (nextPort + count <= RESERVATION.getLocalPort() + PORTS_OF_A_RUN) {
       int first = nextPort;
       nextPort += count;
-      if (nextPort > LAST_PORT) {
-        nextPort = FIRST_PORT;
-      }
       boolean free = true;
       for (int port = first; port < first + count && free; port++) {
         try (ServerSocket socket = new ServerSocket()) {
@@ -138,6 +156,7 @@
         return first;
       }
     }
+    throw new IOException("no ports are left");
   }
 
   void start() throws IOException {
@@ -154,6 +173,7 @@
     environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
     environment.put("GUAVAGW_CONFIG", settings.toString());
     environment.put("GUAVAGW_LISTEN", LOOPBACK + ":" + front);
+    environment.put("GUAVAGW_PEER_SECRET", "the entries of a test");
     environment.put("GUAVAGW_METRICS_PORT", Integer.toString(metrics));
     File out = folder.resolve(name + ".log").toFile();
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(out));
@@ -218,6 +238,30 @@
     new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
   }
 
+  /** Lets connections to the peer ports of this machine, which was removed, hang as on a real network. */
+  void goDark() throws IOException {
+    for (int port = peers; port <= peers + 1; port++) {
+      ServerSocket full = new ServerSocket();
+      full.setReuseAddress(true);
+      full.bind(new InetSocketAddress(InetAddress.getByName(LOOPBACK), port), 1);
+      HELD.add(full);
+      for (int i = 0; i < 4; i++) {
+        Socket waiting = new Socket();
+        HELD.add(waiting);
+        try {
+          waiting.connect(full.getLocalSocketAddress(), 50);
+        } catch (IOException e) {
+          break;
+        }
+      }
+    }
+  }
+
+  /** Waits until the process has ended. */
+  boolean awaitEnd(int seconds) throws InterruptedException {
+    return process.waitFor(seconds, TimeUnit.SECONDS);
+  }
+
   void kill() throws InterruptedException {
     if (process != null) {
       process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
--- a/review/standins-3/src/org/guavagw/review3/LongHeads.java
+++ b/review/standins-3/src/org/guavagw/review3/LongHeads.java
@@ -23,7 +23,7 @@
   /** Of the rule LOST. */
   private static final int MAX_LOST = 3;
 
-  private final Deployment deployment = new Deployment("13");
+  private final Deployment deployment = new Deployment("12");
   private final boolean trouble;
   private final AtomicInteger runs = new AtomicInteger();
   private final Set<String> ran = ConcurrentHashMap.newKeySet();
--- a/review/standins-3/src/org/guavagw/review3/Store.java
+++ b/review/standins-3/src/org/guavagw/review3/Store.java
@@ -13,12 +13,61 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
+import java.util.function.UnaryOperator;
 
 /** The platform's store, sound: rows, a feed, and writes under a condition. Thread-safe. */
 final class Store {
   private final HttpServer server;
+  private final UnaryOperator<String> noChange = value -> value;
   private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
   private long version = 1;
+  private long era = 1;
+  private boolean away;
+
+  /** A copy of all rows, to which the store can be restored. */
+  static final class Copy {
+    private final Map<String, TreeMap<String, Row>> tables;
+    private final long version;
+
+    private Copy(Map<String, TreeMap<String, Row>> tables, long version) {
+      this.tables = tables;
+      this.version = version;
+    }
+  }
+
+  synchronized Copy copy() {
+    return new Copy(copyOf(tables), version);
+  }
+
+  private static Map<String, TreeMap<String, Row>> copyOf(Map<String, TreeMap<String, Row>> from) {
+    Map<String, TreeMap<String, Row>> copies = new HashMap<>();
+    from.forEach((name, rows) -> copies.put(name, new TreeMap<>(rows)));
+    return copies;
+  }
+
+  /** Refuses all calls until {@link #restore}. */
+  synchronized void goAway() {
+    away = true;
+    notifyAll();
+  }
+
+  /** Comes back from a copy: versions go back and are given out again, the era rises. */
+  synchronized void restore(Copy copy) {
+    tables.clear();
+    tables.putAll(copyOf(copy.tables));
+    version = copy.version;
+    era++;
+    away = false;
+    notifyAll();
+  }
+
+  private synchronized boolean isAway() {
+    return away;
+  }
+
+  private synchronized long era() {
+    return era;
+  }
 
   private record Row(String value, long version, boolean removed) {}
 
@@ -29,18 +78,32 @@
   }
 
   Store() throws IOException {
-    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100);
-    server.setExecutor(
+    server = listen(noChange);
+  }
+
+  /**
+   * Opens a second address, at which the rows of workers are changed.
+   *
+   * @param change returns the value of a row of a worker as it is read there
+   */
+  String openView(UnaryOperator<String> change) throws IOException {
+    return "127.0.0.1:" + listen(change).getAddress().getPort();
+  }
+
+  private HttpServer listen(UnaryOperator<String> change) throws IOException {
+    HttpServer http = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 100);
+    http.setExecutor(
         Executors.newCachedThreadPool(
             r -> {
               Thread thread = new Thread(r, "store");
               thread.setDaemon(true);
               return thread;
             }));
-    server.createContext("/rows-get", e -> answer(e, this::get));
-    server.createContext("/rows-feed", e -> answer(e, this::feed));
-    server.createContext("/rows-tx", e -> answer(e, this::transact));
-    server.start();
+    http.createContext("/rows-get", e -> answer(e, (q, b) -> get(q, change)));
+    http.createContext("/rows-feed", e -> answer(e, (q, b) -> feed(q, change)));
+    http.createContext("/rows-tx", e -> answer(e, this::transact));
+    http.start();
+    return http;
   }
 
   String address() {
@@ -50,8 +113,7 @@
   /** Writes a row as the operator or a worker would. */
   synchronized void put(String table, String key, String value) {
     version++;
-    String base64 = Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8));
-    rows(table).put(key, new Row(base64, version, false));
+    rows(table).put(key, new Row(encode(value), version, false));
     notifyAll();
   }
 
@@ -66,32 +128,44 @@
     Row row = rows(table).get(key);
     return row == null || row.removed()
         ? ""
-        : new String(Base64.getDecoder().decode(row.value()), StandardCharsets.UTF_8);
+        : decode(row.value());
+  }
+
+  private static String encode(String text) {
+    return Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static String decode(String base64) {
+    return new String(Base64.getDecoder().decode(base64), StandardCharsets.UTF_8);
   }
 
   private TreeMap<String, Row> rows(String table) {
     return tables.computeIfAbsent(table, t -> new TreeMap<>());
   }
 
-  private synchronized Reply get(Map<String, String> query, String body) {
+  private synchronized Reply get(Map<String, String> query, UnaryOperator<String> change) {
     StringBuilder out = new StringBuilder();
     rows(query.get("table"))
-        .forEach((key, row) -> append(out, query.get("table"), key, row, !row.removed()));
+        .forEach((key, row) -> append(out, query.get("table"), key, row, !row.removed(), change));
     return new Reply(200, withRows(out, ",\"truncated\":false"));
   }
 
-  private synchronized Reply feed(Map<String, String> query, String body)
+  private synchronized Reply feed(Map<String, String> query, UnaryOperator<String> change)
       throws InterruptedException {
     long since = Long.parseLong(query.get("since_rev"));
     long deadline = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000L;
+    long begunIn = era;
     while (true) {
+      if (away || era != begunIn) {
+        return new Reply(503, "{}");
+      }
       if (since > version) {
         return new Reply(410, withRows(new StringBuilder(), ""));
       }
       StringBuilder out = new StringBuilder();
       rows(query.get("table"))
           .forEach(
-              (key, row) -> append(out, query.get("table"), key, row, row.version() > since));
+              (key, row) -> append(out, query.get("table"), key, row, row.version() > since, change));
       long left = (deadline - System.nanoTime()) / 1_000_000L;
       if (out.length() > 0 || left <= 0) {
         return new Reply(200, withRows(out, ""));
@@ -100,17 +174,25 @@
     }
   }
 
-  private static void append(StringBuilder out, String table, String key, Row row, boolean wanted) {
+  private static void append(
+      StringBuilder out,
+      String table,
+      String key,
+      Row row,
+      boolean wanted,
+      UnaryOperator<String> change) {
     if (!wanted) {
       return;
     }
+    boolean changed = table.equals("servers") && !row.removed();
+    String value = changed ? encode(change.apply(decode(row.value()))) : row.value();
     out.append(out.length() == 0 ? "" : ",")
         .append("{\"table\":")
         .append(Json.quote(table))
         .append(",\"part\":\"\",\"key\":")
         .append(Json.quote(key))
         .append(",\"value\":\"")
-        .append(row.value())
+        .append(value)
         .append("\",\"ver\":")
         .append(row.version())
         .append(row.removed() ? ",\"tombstone\":true}" : "}");
@@ -145,7 +227,7 @@
     return new Reply(200, "{" + stamp().substring(1) + "}");
   }
 
-  private static void answer(HttpExchange exchange, Handler handler) throws IOException {
+  private void answer(HttpExchange exchange, Handler handler) throws IOException {
     Map<String, String> query = new HashMap<>();
     String raw = exchange.getRequestURI().getRawQuery();
     if (raw != null) {
@@ -157,13 +239,13 @@
     String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
     Reply reply;
     try {
-      reply = handler.handle(query, body);
+      reply = isAway() ? new Reply(503, "{}") : handler.handle(query, body);
     } catch (InterruptedException e) {
       reply = new Reply(503, "{}");
     }
     byte[] bytes = reply.body().getBytes(StandardCharsets.UTF_8);
     exchange.getResponseHeaders().set("Content-Type", "application/json");
-    exchange.getResponseHeaders().set("Store-Era", "1");
+    exchange.getResponseHeaders().set("Store-Era", Long.toString(era()));
     exchange.sendResponseHeaders(reply.status(), bytes.length);
     exchange.getResponseBody().write(bytes);
     exchange.close();
