--- a/review/standins-3/src/org/guavagw/review3/Deployment.java
+++ b/review/standins-3/src/org/guavagw/review3/Deployment.java
@@ -10,6 +10,9 @@
 
 /** A store, workers and entries of a small deployment, and the record of a run. */
 final class Deployment implements AutoCloseable {
+  /** A run may take 120 s. */
+  private static final long MAX_MILLIS = 112_000;
+
   static final String HOST = "desk.example";
   static final String KEY = "n2ctnfzs989anu6wsjnb";
   static final String OTHER_KEY = "anfqasnmgkcuyj8pjbvk";
@@ -52,6 +55,7 @@
     folder = Files.createTempDirectory("guavagw-review");
     recordFile = Path.of("review", caseFolder, "record.txt");
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
+    Worker.thread(this::limitTime);
   }
 
   static String config(int version, String tenants, String... routes) {
@@ -99,7 +103,19 @@
     return broken ? 1 : 0;
   }
 
+  /** Ends a run that takes too long as one that could not run. */
+  private void limitTime() {
+    try {
+      Thread.sleep(MAX_MILLIS);
+    } catch (InterruptedException e) {
+      return;
+    }
+    System.out.println("could not run: it takes too long");
+    System.exit(2);
+  }
+
   private void killAll() {
+    Entry.startNoMore();
     for (Entry entry : entries) {
       try {
         entry.kill();
--- a/review/standins-3/src/org/guavagw/review3/Entry.java
+++ b/review/standins-3/src/org/guavagw/review3/Entry.java
@@ -46,6 +46,7 @@
   private final Path settings;
   private final int metrics;
   private Process process;
+  private static boolean closing;
 
   Entry(Path folder, String name, String zone, String store, List<String> zones)
       throws IOException {
@@ -177,7 +178,17 @@
     environment.put("GUAVAGW_METRICS_PORT", Integer.toString(metrics));
     File out = folder.resolve(name + ".log").toFile();
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(out));
-    process = builder.start();
+    synchronized (Entry.class) {
+      if (closing) {
+        throw new IOException("the run ends");
+      }
+      process = builder.start();
+    }
+  }
+
+  /** Starts no process from now on, as those that run are ended. */
+  static synchronized void startNoMore() {
+    closing = true;
   }
 
   long pid() {
--- a/review/standins-3/src/org/guavagw/review3/LongHeads.java
+++ b/review/standins-3/src/org/guavagw/review3/LongHeads.java
@@ -88,7 +88,7 @@
     note(entry);
     stop = true;
     int served = ownServed.get() - servedBefore;
-    boolean broken = !entry.alive() || lost.get() > MAX_LOST;
+    boolean broken = lost.get() > MAX_LOST;
     return deployment.end(
         broken,
         (entry.alive() ? "the process runs" : "the process has ended, exit " + entry.exitCode())
